Serve a call end to end through separate entries, thin

Cause: nothing existed. Change: library, stand-ins and command line. Entries hold one lease each, join by probes over authenticated Thrift datagrams, learn published generations, turn the demand of many entries into one load at a model's home by conditional updates, stream answers and claim plain calls. Before: no program.

--- /dev/null
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/ObjectFolder.java
@@ -0,0 +1,22 @@
+package org.tarragonring.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.tarragonring.config.ConfigChecker;
+import org.tarragonring.config.ConfigSet;
+import org.tarragonring.operator.IniFiles;
+
+/** Reads and checks a folder of object files. */
+final class ObjectFolder {
+
+    private ObjectFolder() {}
+
+    static ConfigSet readChecked(Path folder) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            throw new UsageException("folder \"%s\" does not exist".formatted(folder));
+        }
+        return ConfigChecker.check(IniFiles.readObjects(folder));
+    }
+}
--- /dev/null
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/BenchCommand.java
@@ -0,0 +1,23 @@
+package org.tarragonring.cli.bench;
+
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/**
+ * Groups the benchmarks.
+ *
+ * @since 0.1.0
+ */
+@Command(name = "bench", description = "Measures the system.", mixinStandardHelpOptions = true)
+public final class BenchCommand implements Callable<Integer> {
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a benchmark is missing");
+    }
+}
--- /dev/null
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of decisions, calls and control traffic. */
+package org.tarragonring.cli.bench;
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -0,0 +1,433 @@
+package org.tarragonring.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Consumer;
+
+import io.smallrye.mutiny.Uni;
+import org.tarragonring.config.ConfigHolder;
+import org.tarragonring.config.Model;
+import org.tarragonring.home.HomeSelector;
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.SlotId;
+import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.lease.EntryLease;
+import org.tarragonring.lease.LeaseObserver;
+import org.tarragonring.log.LogEvent;
+import org.tarragonring.membership.FailureDetector;
+import org.tarragonring.membership.MemberTable;
+import org.tarragonring.peer.Datagram;
+import org.tarragonring.peer.Member;
+import org.tarragonring.peer.MemberState;
+import org.tarragonring.peer.Notice;
+import org.tarragonring.peer.PeerLink;
+import org.tarragonring.peer.PeerMessage;
+import org.tarragonring.placement.HomeContext;
+import org.tarragonring.placement.Invariants;
+import org.tarragonring.placement.LearnedIdlePolicy;
+import org.tarragonring.placement.LoadPermits;
+import org.tarragonring.placement.LoadPlanner;
+import org.tarragonring.placement.LoadTimes;
+import org.tarragonring.placement.Loader;
+import org.tarragonring.placement.ModelHomes;
+import org.tarragonring.placement.PlacementContext;
+import org.tarragonring.placement.Reconciler;
+import org.tarragonring.placement.Releaser;
+import org.tarragonring.platform.Instance;
+import org.tarragonring.platform.LeaseRecord;
+import org.tarragonring.platform.ObjectStore;
+import org.tarragonring.platform.RecordStore;
+import org.tarragonring.spread.BlobFetcher;
+import org.tarragonring.spread.BlobStore;
+import org.tarragonring.spread.ConfigSpread;
+import org.tarragonring.spread.NoticeBoard;
+import org.tarragonring.spread.PeerHub;
+import org.tarragonring.time.Timers;
+import org.tarragonring.upstream.UpstreamDirectory;
+
+/**
+ * The part of an entry that acts together with other entries: lease, membership, configuration, homes and
+ * reconciliation. It needs no network of its own, so that tests can run many of them on a hand-moved clock.
+ *
+ * @since 0.1.0
+ */
+public final class ControlPlane {
+
+    private static final Duration TICK_PERIOD = Duration.ofMillis(500);
+    private static final Duration DIRECTORY_PERIOD = Duration.ofSeconds(1);
+    private static final Duration RECONCILE_PERIOD = Duration.ofSeconds(5);
+    private static final Duration PERMIT_LIFETIME = Duration.ofSeconds(60);
+    private static final Duration START_RETRY = Duration.ofSeconds(1);
+    private static final long INCARNATIONS_PER_EPOCH = 1_000_000;
+
+    private final EntrySettings settings;
+    private final ObjectStore objects;
+    private final Clocks clocks;
+    private final Timers timers;
+    private final PeerLink link;
+    private final UpstreamDirectory directory;
+    private final Random random;
+    private final Invariants invariants;
+    private final Consumer<PeerMessage.Placement> placements;
+    private final Consumer<Notice> notices;
+    private final RecordStore records;
+    private final ConfigHolder config = new ConfigHolder();
+    private final List<Timers.Task> tasks = new ArrayList<>();
+    private EntryLease lease;
+    private MemberTable table;
+    private HomeSelector homes;
+    private NoticeBoard board;
+    private PeerHub hub;
+    private FailureDetector detector;
+    private BlobFetcher fetcher;
+    private ConfigSpread spread;
+    private Reconciler reconciler;
+    private ModelHomes modelHomes;
+    private volatile boolean running;
+
+    /**
+     * Creates a control plane that does not run yet.
+     *
+     * @param settings the entry's settings, not null
+     * @param objects the platform's store, not null
+     * @param clocks the clocks, not null
+     * @param timers runs periodic work, not null
+     * @param link sends datagrams, not null
+     * @param directory the upstreams, not null
+     * @param random draws members and delays, not null
+     * @param invariants checks what must hold, not null
+     * @param placements takes what homes tell this entry, not null
+     * @param notices takes notices of other entries, not null
+     */
+    public ControlPlane(
+            EntrySettings settings,
+            ObjectStore objects,
+            Clocks clocks,
+            Timers timers,
+            PeerLink link,
+            UpstreamDirectory directory,
+            Random random,
+            Invariants invariants,
+            Consumer<PeerMessage.Placement> placements,
+            Consumer<Notice> notices) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.objects = Objects.requireNonNull(objects, "objects");
+        this.clocks = Objects.requireNonNull(clocks, "clocks");
+        this.timers = Objects.requireNonNull(timers, "timers");
+        this.link = Objects.requireNonNull(link, "link");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.random = Objects.requireNonNull(random, "random");
+        this.invariants = Objects.requireNonNull(invariants, "invariants");
+        this.placements = Objects.requireNonNull(placements, "placements");
+        this.notices = Objects.requireNonNull(notices, "notices");
+        this.records = new RecordStore(objects, this::token);
+    }
+
+    /**
+     * Takes the lease, joins the other entries and starts all periodic work.
+     *
+     * @param callerAddress where callers reach this entry, not null
+     * @param peerAddress where other entries reach it, not null
+     * @return completes when it runs; it keeps trying while the platform is away
+     */
+    public Uni<Void> start(HostPort callerAddress, HostPort peerAddress) {
+        running = true;
+        LeaseRecord addresses = new LeaseRecord(
+                0, 0, callerAddress.toString(), peerAddress.toString(), settings.failureDomain(), false);
+        lease = new EntryLease(settings.id(), addresses, settings.lease(), records, clocks.monotonic(), timers);
+        return takeLease()
+                .chain(this::readOthers)
+                .invoke(others -> {
+                    build(callerAddress, peerAddress);
+                    others.forEach(table::apply);
+                    startWork();
+                })
+                .replaceWithVoid();
+    }
+
+    /**
+     * Tells everybody that this entry is leaving.
+     *
+     * @return completes when the lease record says so; the entry goes on acting until {@link #stop}
+     */
+    public Uni<Void> leave() {
+        table.leave();
+        hub.broadcast(new PeerMessage.ProbeAck(0));
+        return lease.leave().onFailure().recoverWithNull();
+    }
+
+    /** Stops all periodic work and gives the lease up. */
+    public void stop() {
+        running = false;
+        tasks.forEach(Timers.Task::cancel);
+        if (detector != null) {
+            detector.stop();
+            spread.stop();
+        }
+        if (lease != null) {
+            lease.stop();
+        }
+    }
+
+    /**
+     * Takes a datagram from another entry.
+     *
+     * @param datagram the datagram, not null
+     */
+    public void receive(Datagram datagram) {
+        if (!running || hub == null) {
+            return;
+        }
+        hub.receive(datagram);
+        spread.onGeneration(datagram.fromAddress(), datagram.configGeneration());
+        dispatch(datagram.from(), datagram.fromAddress(), datagram.message());
+    }
+
+    /**
+     * Tells a model's home what this entry needs.
+     *
+     * @param demand the report, not null
+     */
+    public void report(PeerMessage.Demand demand) {
+        if (!running || hub == null) {
+            return;
+        }
+        Member home = homes.homes(demand.model()).stream().findFirst().orElse(table.self());
+        if (home.id().equals(settings.id())) {
+            modelHomes.onDemand(settings.id(), demand);
+        } else {
+            hub.send(home.peerAddress(), demand);
+        }
+    }
+
+    /**
+     * Tells every entry that an upstream died while it ran a request.
+     *
+     * @param subject the notice's subject, not null
+     * @param holds for how long it is to be remembered, not null
+     */
+    public void tellSuspect(String subject, Duration holds) {
+        board.post(Notice.Kind.SUSPECT_REQUEST, subject, holds.toMillis());
+        hub.broadcast(new PeerMessage.ProbeAck(0));
+    }
+
+    /**
+     * Checks if this entry may serve.
+     *
+     * @return true once it holds the highest configuration generation that it can know of
+     */
+    public boolean isReady() {
+        return running && spread != null && spread.isCaughtUp();
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the holder, never null
+     */
+    public ConfigHolder config() {
+        return config;
+    }
+
+    /**
+     * Returns the records of the platform.
+     *
+     * @return the store, never null
+     */
+    public RecordStore records() {
+        return records;
+    }
+
+    /**
+     * Returns the entries that look after a model, best first.
+     *
+     * @param model the model, not null
+     * @return the members, empty before the start
+     */
+    public List<Member> homes(ModelName model) {
+        return homes == null ? List.of() : homes.homes(model);
+    }
+
+    /**
+     * Describes the control plane.
+     *
+     * @return its state at this moment
+     */
+    public ControlState state() {
+        return new ControlState(
+                settings.id(),
+                lease == null ? 0 : lease.epoch(),
+                lease != null && lease.isValid(),
+                config.generation(),
+                isReady(),
+                table == null ? List.of() : List.copyOf(table.all()),
+                modelHomes == null ? List.of() : modelHomes.states(),
+                invariants.breaches());
+    }
+
+    private Uni<Void> takeLease() {
+        return lease.start().onFailure(failure -> running).recoverWithUni(failure -> {
+            LogEvent.ENTRY_WAITS.log(settings.id(), failure.getMessage());
+            return new org.tarragonring.time.Delays(timers).after(START_RETRY).chain(this::takeLease);
+        });
+    }
+
+    private Uni<List<Member>> readOthers() {
+        return objects.list("entries/")
+                .map(found -> found.stream()
+                        .map(object -> LeaseMembers.read(object, INCARNATIONS_PER_EPOCH))
+                        .flatMap(java.util.Optional::stream)
+                        .filter(member -> !member.id().equals(settings.id()))
+                        .toList())
+                .onFailure()
+                .recoverWithItem(List.of());
+    }
+
+    private void build(HostPort callerAddress, HostPort peerAddress) {
+        table = new MemberTable(new Member(
+                settings.id(),
+                lease.epoch() * INCARNATIONS_PER_EPOCH,
+                MemberState.ALIVE,
+                peerAddress,
+                callerAddress,
+                settings.failureDomain()));
+        homes = new HomeSelector(table::usable, settings.id());
+        board = new NoticeBoard(clocks.monotonic(), notices);
+        hub = new PeerHub(table, board, config::generation, link, timers);
+        detector = new FailureDetector(table, settings.membership(), timers, random, hub::send);
+        fetcher = new BlobFetcher(hub::send, timers);
+        spread = new ConfigSpread(
+                config,
+                objects,
+                fetcher,
+                () -> homes.isRelay(settings.failureDomain()),
+                hub::others,
+                hub::send,
+                timers,
+                random);
+        buildPlacement();
+    }
+
+    private void buildPlacement() {
+        PlacementContext placement = new PlacementContext(
+                lease,
+                new LeaseObserver(records, clocks.monotonic(), settings.lease()),
+                records,
+                directory,
+                invariants,
+                clocks.monotonic(),
+                timers);
+        Set<SlotId> active = Reconciler.noActiveSlots();
+        Releaser releaser = new Releaser(placement);
+        reconciler = new Reconciler(placement, releaser, active, this::onResident);
+        LoadTimes loadTimes = new LoadTimes();
+        LoadPermits permits = new LoadPermits(
+                records, clocks.wall(), settings.id(), "models", settings.parallelLoads(), PERMIT_LIFETIME);
+        modelHomes = new ModelHomes(new HomeContext(
+                placement,
+                new Loader(placement, permits),
+                releaser,
+                reconciler,
+                active,
+                new LoadPlanner(loadTimes, settings.minResidence(), this::weightOf),
+                loadTimes,
+                new LearnedIdlePolicy(settings.idleKeep(), settings.idleSecondsPerLateSecond()),
+                directory,
+                config,
+                () -> new SlotId(token()),
+                this::answer));
+    }
+
+    private void startWork() {
+        detector.start();
+        spread.start();
+        hub.others().forEach(detector::join);
+        refreshDirectory();
+        tasks.add(timers.repeat(TICK_PERIOD, this::tick));
+        tasks.add(timers.repeat(DIRECTORY_PERIOD, this::refreshDirectory));
+        tasks.add(timers.repeat(RECONCILE_PERIOD, this::reconcileOwned));
+    }
+
+    private void tick() {
+        if (!lease.isValid()) {
+            return;
+        }
+        config.current().ifPresent(snapshot -> {
+            for (Model model : snapshot.set().models()) {
+                if (model.minReplicas() > 0 && homes.isHome(model.name())) {
+                    modelHomes.lookAfter(model.name());
+                }
+            }
+        });
+        modelHomes.tick();
+    }
+
+    private void onResident(ModelName model) {
+        if (homes.isHome(model)) {
+            modelHomes.lookAfter(model);
+        }
+    }
+
+    private void refreshDirectory() {
+        directory.refresh().subscribe().with(done -> {}, failure -> {});
+    }
+
+    private void reconcileOwned() {
+        for (Instance instance : directory.engines()) {
+            if (homes.owns(instance.id())) {
+                reconcile(instance.id());
+            }
+        }
+    }
+
+    private void reconcile(UpstreamId upstream) {
+        reconciler
+                .reconcile(upstream)
+                .subscribe()
+                .with(done -> {}, failure -> LogEvent.RECONCILE_FAILED.log(upstream, failure.getMessage()));
+    }
+
+    private void answer(EntryId to, PeerMessage.Placement placement) {
+        if (to.equals(settings.id())) {
+            placements.accept(placement);
+        } else {
+            table.find(to).ifPresent(member -> hub.send(member.peerAddress(), placement));
+        }
+    }
+
+    private void dispatch(EntryId from, HostPort address, PeerMessage message) {
+        if (message instanceof PeerMessage.Probe probe) {
+            detector.onProbe(address, probe);
+        } else if (message instanceof PeerMessage.ProbeAck ack) {
+            detector.onAck(ack);
+        } else if (message instanceof PeerMessage.IndirectProbe probe) {
+            detector.onIndirectProbe(address, probe);
+        } else if (message instanceof PeerMessage.Demand demand) {
+            modelHomes.onDemand(from, demand);
+        } else if (message instanceof PeerMessage.Placement placement) {
+            placements.accept(placement);
+        } else if (message instanceof PeerMessage.BlobRequest request) {
+            hub.send(address, new BlobStore(config).answer(request));
+        } else if (message instanceof PeerMessage.BlobPart part) {
+            fetcher.onPart(part);
+        }
+    }
+
+    private int weightOf(ModelName model) {
+        return config.current()
+                .flatMap(snapshot -> snapshot.set().model(model))
+                .map(m -> m.callClass().weight())
+                .orElse(1);
+    }
+
+    private String token() {
+        return new UUID(random.nextLong(), random.nextLong()).toString();
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/LeaseMembers.java
@@ -0,0 +1,35 @@
+package org.tarragonring.entry;
+
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.peer.Member;
+import org.tarragonring.peer.MemberState;
+import org.tarragonring.platform.Json;
+import org.tarragonring.platform.LeaseRecord;
+import org.tarragonring.platform.RecordType;
+import org.tarragonring.platform.StoredObject;
+
+/** Makes members from lease records, for an entry that starts. */
+final class LeaseMembers {
+
+    private LeaseMembers() {}
+
+    static Optional<Member> read(StoredObject object, long incarnationsPerEpoch) {
+        String id = object.key().substring(RecordType.LEASE.prefix().length());
+        LeaseRecord lease = Json.MAPPER.convertValue(
+                Json.read(object.value(), JsonNode.class).path("body"), LeaseRecord.class);
+        if (lease.leaving()) {
+            return Optional.empty();
+        }
+        return Optional.of(new Member(
+                new EntryId(id),
+                lease.epoch() * incarnationsPerEpoch,
+                MemberState.ALIVE,
+                HostPort.parse(lease.peerAddress()),
+                HostPort.parse(lease.callerAddress()),
+                lease.failureDomain()));
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/package-info.java
@@ -0,0 +1,2 @@
+/** One entry: everything put together, started and stopped. */
+package org.tarragonring.entry;
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/home/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which entries look after which models and upstreams. */
+package org.tarragonring.home;
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/ids/HostPort.java
@@ -0,0 +1,52 @@
+package org.tarragonring.ids;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * A host and a port.
+ *
+ * @param host the IP number or name, not null
+ * @param port the port, 0 to 65535; 0 lets the system choose one to listen on
+ * @since 0.1.0
+ */
+public record HostPort(String host, int port) {
+
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the arguments. */
+    public HostPort {
+        if (host == null || host.isBlank()) {
+            throw new IllegalArgumentException("host is missing");
+        }
+        if (port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port %d is not between 0 and %d".formatted(port, MAX_PORT));
+        }
+    }
+
+    /**
+     * Reads an address.
+     *
+     * @param text such as {@code 127.0.0.1:8080}, not null
+     * @return the address
+     * @throws IllegalArgumentException if the text is no host and port
+     */
+    @JsonCreator
+    public static HostPort parse(String text) {
+        int colon = text == null ? -1 : text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("\"%s\" is not an address such as 127.0.0.1:8080".formatted(text));
+        }
+        try {
+            return new HostPort(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("\"%s\" is not an address such as 127.0.0.1:8080".formatted(text), e);
+        }
+    }
+
+    @Override
+    @JsonValue
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -0,0 +1,136 @@
+package org.tarragonring.log;
+
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+
+/**
+ * Every event that the system logs, each with its number, level and text.
+ *
+ * <p>{@code docs/LOG-EVENTS.md} lists them for operators; a test holds both together.
+ *
+ * @since 0.1.0
+ */
+public enum LogEvent {
+    /** The entry serves. */
+    ENTRY_STARTED(100, Logger.Level.INFO, "entry %s serves callers on %s and peers on %s"),
+    /** The entry began its shutdown. */
+    ENTRY_LEAVING(101, Logger.Level.INFO, "entry %s is leaving, %s calls in flight"),
+    /** The entry ended. */
+    ENTRY_STOPPED(102, Logger.Level.INFO, "entry %s stopped, %s calls cut off"),
+    /** The entry waits for a configuration. */
+    ENTRY_WAITS(103, Logger.Level.WARN, "entry %s has no configuration yet and does not serve: %s"),
+    /** A lease could not be renewed. */
+    LEASE_RENEWAL_FAILED(200, Logger.Level.WARN, "lease of entry %s was not renewed: %s"),
+    /** Another process took this entry's lease. */
+    LEASE_TAKEN_OVER(201, Logger.Level.ERROR, "lease epoch %2$s of entry %1$s was taken over by epoch %3$s"),
+    /** A load order was sent. */
+    LOAD_ORDERED(300, Logger.Level.DEBUG, "load of model %s ordered on upstream %s, slot %s, fence %s"),
+    /** An unload order was sent. */
+    UNLOAD_ORDERED(301, Logger.Level.DEBUG, "unload of model %s ordered on upstream %s, slot %s, fence %s"),
+    /** A load is complete. */
+    LOAD_COMPLETED(302, Logger.Level.INFO, "model %s loaded on upstream %s in %s ms"),
+    /** A load failed and is undone. */
+    LOAD_FAILED(303, Logger.Level.WARN, "load of model %s on upstream %s failed: %s"),
+    /** A placement was freed. */
+    UNLOADED(304, Logger.Level.INFO, "model %s unloaded from upstream %s: %s"),
+    /** A placement could not be freed yet. */
+    UNLOAD_FAILED(305, Logger.Level.WARN, "unload of slot %s from upstream %s is not complete: %s"),
+    /** No upstream has room. */
+    NO_ROOM(306, Logger.Level.WARN, "no upstream has room for model %s"),
+    /** A dead entry's placement is taken over. */
+    TAKEN_OVER(400, Logger.Level.INFO, "slot %s on upstream %s left by entry %s in state %s is taken over"),
+    /** An engine holds something that no record names. */
+    UNKNOWN_RESIDENT(401, Logger.Level.WARN, "upstream %s holds slot %s of model %s that no record names"),
+    /** A loaded model vanished from its engine. */
+    RESIDENT_VANISHED(402, Logger.Level.WARN, "upstream %s no longer holds slot %s of model %s"),
+    /** An upstream left the instance list. */
+    UPSTREAM_GONE(403, Logger.Level.INFO, "upstream %s left the instance list, %s reservations end"),
+    /** A reconciliation failed. */
+    RECONCILE_FAILED(404, Logger.Level.WARN, "reconciliation of upstream %s failed: %s"),
+    /** A member is no longer reached. */
+    MEMBER_SUSPECT(500, Logger.Level.INFO, "entry %s does not answer and is suspected"),
+    /** A member is taken as dead. */
+    MEMBER_DEAD(501, Logger.Level.WARN, "entry %s is taken as dead"),
+    /** A member came up. */
+    MEMBER_ALIVE(502, Logger.Level.INFO, "entry %s at %s is a member"),
+    /** A datagram was dropped. */
+    DATAGRAM_REJECTED(503, Logger.Level.DEBUG, "datagram from %s was dropped: %s"),
+    /** A configuration came into force. */
+    CONFIG_ADOPTED(600, Logger.Level.INFO, "configuration generation %s is in force, learned from %s"),
+    /** A configuration could not be fetched. */
+    CONFIG_FETCH_FAILED(601, Logger.Level.WARN, "configuration generation %s could not be fetched: %s"),
+    /** A call was refused. */
+    CALL_REFUSED(700, Logger.Level.DEBUG, "call refused, %s, verdict %s: %s"),
+    /** An upstream is ejected. */
+    UPSTREAM_EJECTED(701, Logger.Level.WARN, "upstream %s gets no calls for %s ms after %s failures"),
+    /** A request is quarantined. */
+    REQUEST_QUARANTINED(702, Logger.Level.WARN, "request %s broke %s upstreams and is refused everywhere"),
+    /** A stream is resumed on another upstream. */
+    STREAM_RESUMED(703, Logger.Level.INFO, "stream resumed on upstream %s after %s tokens"),
+    /** A claim could not be written. */
+    CLAIM_FAILED(704, Logger.Level.WARN, "claims of bucket %s were not written: %s"),
+    /** An unexpected failure was caught. */
+    UNEXPECTED(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
+    /** An invariant does not hold. */
+    INVARIANT_BROKEN(901, Logger.Level.ERROR, "invariant broken, step refused: %s");
+
+    private static final Logger LOGGER = Logger.getLogger("org.tarragonring");
+    private static final String CALL_ID_KEY = "callId";
+
+    private final int number;
+    private final Logger.Level level;
+    private final String format;
+
+    LogEvent(int number, Logger.Level level, String format) {
+        this.number = number;
+        this.level = level;
+        this.format = format;
+    }
+
+    /**
+     * Returns the event's code as it starts each of its log lines.
+     *
+     * @return {@code TRNG} and six digits
+     */
+    public String code() {
+        return "TRNG%06d".formatted(number);
+    }
+
+    /**
+     * Returns the event's level.
+     *
+     * @return the level, never null
+     */
+    public Logger.Level level() {
+        return level;
+    }
+
+    /**
+     * Logs the event.
+     *
+     * @param arguments the values that the event's text names, in order
+     */
+    public void log(Object... arguments) {
+        if (LOGGER.isEnabled(level)) {
+            LOGGER.log(level, code() + ": " + format.formatted(arguments));
+        }
+    }
+
+    /**
+     * Logs the event as part of a call.
+     *
+     * @param callId the call's id, not null
+     * @param arguments the values that the event's text names, in order
+     */
+    public void logForCall(String callId, Object... arguments) {
+        if (!LOGGER.isEnabled(level)) {
+            return;
+        }
+        MDC.put(CALL_ID_KEY, callId);
+        try {
+            LOGGER.log(level, code() + ": [" + callId + "] " + format.formatted(arguments));
+        } finally {
+            MDC.remove(CALL_ID_KEY);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/package-info.java
@@ -0,0 +1,2 @@
+/** The numbered log events of the system. */
+package org.tarragonring.log;
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/DatagramCodec.java
@@ -0,0 +1,284 @@
+package org.tarragonring.peer;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+
+import org.apache.commons.codec.digest.HmacAlgorithms;
+import org.apache.commons.codec.digest.HmacUtils;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.SlotId;
+import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.peer.wire.WireBlobPart;
+import org.tarragonring.peer.wire.WireBlobRequest;
+import org.tarragonring.peer.wire.WireBody;
+import org.tarragonring.peer.wire.WireDatagram;
+import org.tarragonring.peer.wire.WireDemand;
+import org.tarragonring.peer.wire.WireIndirectProbe;
+import org.tarragonring.peer.wire.WireMember;
+import org.tarragonring.peer.wire.WireNotice;
+import org.tarragonring.peer.wire.WirePlacement;
+import org.tarragonring.peer.wire.WireProbe;
+import org.tarragonring.peer.wire.WireProbeAck;
+import org.tarragonring.peer.wire.WireReplica;
+
+/**
+ * Writes datagrams as Thrift's compact protocol under a keyed hash, and reads only those that carry the same key's
+ * hash, a known protocol version and at most {@value #MAX_BYTES} bytes.
+ *
+ * @since 0.1.0
+ */
+public final class DatagramCodec {
+
+    /** The protocol version that this codec writes and reads. */
+    public static final int PROTOCOL_VERSION = 1;
+
+    /** The longest datagram. */
+    public static final int MAX_BYTES = 8192;
+
+    private static final int TAG_BYTES = 16;
+    private static final int MAX_MEMBERS = 64;
+    private static final MemberState[] MEMBER_STATES = MemberState.values();
+    private static final Notice.Kind[] NOTICE_KINDS = Notice.Kind.values();
+
+    private final byte[] key;
+
+    /**
+     * Creates a codec.
+     *
+     * @param key the key that all entries share, not null or empty
+     */
+    public DatagramCodec(String key) {
+        if (Objects.requireNonNull(key, "key").isEmpty()) {
+            throw new IllegalArgumentException("key is empty");
+        }
+        this.key = key.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Writes a datagram.
+     *
+     * @param datagram the datagram, not null
+     * @return its bytes
+     * @throws IllegalArgumentException if it is longer than {@value #MAX_BYTES} bytes
+     */
+    public byte[] encode(Datagram datagram) {
+        byte[] body;
+        try {
+            body = new TSerializer(new TCompactProtocol.Factory()).serialize(toWire(datagram));
+        } catch (TException e) {
+            throw new IllegalArgumentException("datagram cannot be written", e);
+        }
+        if (body.length + TAG_BYTES > MAX_BYTES) {
+            throw new IllegalArgumentException("datagram of %d bytes is too long".formatted(body.length));
+        }
+        return ByteBuffer.allocate(TAG_BYTES + body.length)
+                .put(tag(body))
+                .put(body)
+                .array();
+    }
+
+    /**
+     * Reads a datagram.
+     *
+     * @param bytes its bytes, not null
+     * @return the datagram
+     * @throws IllegalArgumentException if it is too long, carries another key's hash or is malformed
+     */
+    public Datagram decode(byte[] bytes) {
+        if (bytes.length <= TAG_BYTES || bytes.length > MAX_BYTES) {
+            throw new IllegalArgumentException("length %d is out of range".formatted(bytes.length));
+        }
+        byte[] body = Arrays.copyOfRange(bytes, TAG_BYTES, bytes.length);
+        if (!MessageDigest.isEqual(tag(body), Arrays.copyOf(bytes, TAG_BYTES))) {
+            throw new IllegalArgumentException("the keyed hash does not match");
+        }
+        WireDatagram wire = new WireDatagram();
+        try {
+            TConfiguration limits = new TConfiguration(MAX_BYTES, MAX_BYTES, TConfiguration.DEFAULT_RECURSION_DEPTH);
+            wire.read(new TCompactProtocol(new TMemoryInputTransport(limits, body)));
+        } catch (TException e) {
+            throw new IllegalArgumentException("the message is malformed", e);
+        }
+        if (wire.getProtocolVersion() != PROTOCOL_VERSION) {
+            throw new IllegalArgumentException("protocol version %d is not known".formatted(wire.getProtocolVersion()));
+        }
+        return fromWire(wire);
+    }
+
+    private byte[] tag(byte[] body) {
+        byte[] full = new HmacUtils(HmacAlgorithms.HMAC_SHA_256, key).hmac(body);
+        return Arrays.copyOf(full, TAG_BYTES);
+    }
+
+    private static WireDatagram toWire(Datagram datagram) {
+        WireDatagram wire = new WireDatagram(
+                PROTOCOL_VERSION,
+                datagram.from().value(),
+                datagram.fromAddress().toString(),
+                datagram.configGeneration(),
+                toWire(datagram.message()));
+        if (!datagram.members().isEmpty()) {
+            wire.setMembers(
+                    datagram.members().stream().map(DatagramCodec::toWire).toList());
+        }
+        if (!datagram.notices().isEmpty()) {
+            wire.setNotices(datagram.notices().stream()
+                    .map(n -> new WireNotice(n.kind().ordinal(), n.subject(), n.sequence(), n.remainingMillis()))
+                    .toList());
+        }
+        return wire;
+    }
+
+    private static WireMember toWire(Member member) {
+        return new WireMember(
+                member.id().value(),
+                member.incarnation(),
+                member.state().ordinal(),
+                member.peerAddress().toString(),
+                member.callerAddress().toString(),
+                member.failureDomain());
+    }
+
+    private static WireBody toWire(PeerMessage message) {
+        if (message instanceof PeerMessage.Probe probe) {
+            return WireBody.probe(new WireProbe(probe.sequence()));
+        }
+        if (message instanceof PeerMessage.ProbeAck ack) {
+            return WireBody.probeAck(new WireProbeAck(ack.sequence()));
+        }
+        if (message instanceof PeerMessage.IndirectProbe probe) {
+            return WireBody.indirectProbe(new WireIndirectProbe(
+                    probe.sequence(),
+                    probe.target().value(),
+                    probe.targetAddress().toString()));
+        }
+        if (message instanceof PeerMessage.Demand demand) {
+            return WireBody.demand(
+                    new WireDemand(demand.model().value(), demand.queued(), demand.inFlight(), demand.arrivals()));
+        }
+        if (message instanceof PeerMessage.Placement placement) {
+            return WireBody.placement(toWire(placement));
+        }
+        if (message instanceof PeerMessage.BlobRequest request) {
+            return WireBody.blobRequest(new WireBlobRequest(request.name(), request.offset()));
+        }
+        PeerMessage.BlobPart part = (PeerMessage.BlobPart) message;
+        return WireBody.blobPart(
+                new WireBlobPart(part.name(), part.offset(), part.totalBytes(), ByteBuffer.wrap(part.content())));
+    }
+
+    private static WirePlacement toWire(PeerMessage.Placement placement) {
+        List<WireReplica> replicas = placement.replicas().stream()
+                .map(r -> new WireReplica(
+                        r.slot().value(),
+                        r.upstream().value(),
+                        r.address().toString(),
+                        r.loaded(),
+                        r.eta().toMillis()))
+                .toList();
+        WirePlacement wire = new WirePlacement(placement.model().value(), placement.recordVersion(), replicas);
+        if (placement.refusal() != null) {
+            wire.setRefusal(placement.refusal());
+            wire.setRetryAfterMillis(placement.retryAfter().toMillis());
+        }
+        return wire;
+    }
+
+    private static Datagram fromWire(WireDatagram wire) {
+        List<WireMember> members = wire.isSetMembers() ? wire.getMembers() : List.of();
+        if (members.size() > MAX_MEMBERS) {
+            throw new IllegalArgumentException("%d members are too many".formatted(members.size()));
+        }
+        List<WireNotice> notices = wire.isSetNotices() ? wire.getNotices() : List.of();
+        return new Datagram(
+                new EntryId(wire.getFromId()),
+                HostPort.parse(wire.getFromAddress()),
+                wire.getConfigGeneration(),
+                fromWire(wire.getBody()),
+                members.stream().map(DatagramCodec::fromWire).toList(),
+                notices.stream().map(DatagramCodec::fromWire).toList());
+    }
+
+    private static Notice fromWire(WireNotice notice) {
+        return new Notice(
+                constant(NOTICE_KINDS, notice.getKind()),
+                notice.getSubject(),
+                notice.getSequence(),
+                notice.getRemainingMillis());
+    }
+
+    private static Member fromWire(WireMember member) {
+        return new Member(
+                new EntryId(member.getEntryId()),
+                member.getIncarnation(),
+                constant(MEMBER_STATES, member.getState()),
+                HostPort.parse(member.getPeerAddress()),
+                HostPort.parse(member.getCallerAddress()),
+                member.getFailureDomain());
+    }
+
+    private static PeerMessage fromWire(WireBody body) {
+        return switch (body.getSetField()) {
+            case PROBE -> new PeerMessage.Probe(body.getProbe().getSequence());
+            case PROBE_ACK -> new PeerMessage.ProbeAck(body.getProbeAck().getSequence());
+            case INDIRECT_PROBE ->
+                new PeerMessage.IndirectProbe(
+                        body.getIndirectProbe().getSequence(),
+                        new EntryId(body.getIndirectProbe().getTargetId()),
+                        HostPort.parse(body.getIndirectProbe().getTargetAddress()));
+            case DEMAND ->
+                new PeerMessage.Demand(
+                        new ModelName(body.getDemand().getModel()),
+                        body.getDemand().getQueued(),
+                        body.getDemand().getInFlight(),
+                        body.getDemand().getArrivals());
+            case PLACEMENT -> fromWire(body.getPlacement());
+            case BLOB_REQUEST ->
+                new PeerMessage.BlobRequest(
+                        body.getBlobRequest().getName(), body.getBlobRequest().getOffset());
+            case BLOB_PART ->
+                new PeerMessage.BlobPart(
+                        body.getBlobPart().getName(),
+                        body.getBlobPart().getOffset(),
+                        body.getBlobPart().getTotalBytes(),
+                        body.getBlobPart().getContent());
+            default -> throw new IllegalArgumentException("the message has no known body");
+        };
+    }
+
+    private static PeerMessage fromWire(WirePlacement wire) {
+        List<PeerMessage.Replica> replicas = wire.getReplicas().stream()
+                .map(r -> new PeerMessage.Replica(
+                        new SlotId(r.getSlot()),
+                        new UpstreamId(r.getUpstream()),
+                        HostPort.parse(r.getAddress()),
+                        r.isLoaded(),
+                        Duration.ofMillis(r.getEtaMillis())))
+                .toList();
+        return new PeerMessage.Placement(
+                new ModelName(wire.getModel()),
+                wire.getRecordVersion(),
+                replicas,
+                wire.getRefusal(),
+                Duration.ofMillis(wire.getRetryAfterMillis()));
+    }
+
+    private static <T> T constant(T[] constants, int ordinal) {
+        if (ordinal < 0 || ordinal >= constants.length) {
+            throw new IllegalArgumentException("constant %d is not known".formatted(ordinal));
+        }
+        return constants[ordinal];
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -0,0 +1,100 @@
+package org.tarragonring.peer;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.SlotId;
+import org.tarragonring.ids.UpstreamId;
+
+/**
+ * The messages between entries. All are hints: losing, repeating or reordering them costs time only.
+ *
+ * @since 0.1.0
+ */
+public sealed interface PeerMessage {
+
+    /**
+     * Asks an entry for a sign of life.
+     *
+     * @param sequence identifies the probe
+     */
+    record Probe(long sequence) implements PeerMessage {}
+
+    /**
+     * Answers a probe.
+     *
+     * @param sequence the probe's sequence
+     */
+    record ProbeAck(long sequence) implements PeerMessage {}
+
+    /**
+     * Asks an entry to probe another one and to pass the answer on.
+     *
+     * @param sequence identifies the probe
+     * @param target the entry to probe, not null
+     * @param targetAddress where it is reached, not null
+     */
+    record IndirectProbe(long sequence, EntryId target, HostPort targetAddress) implements PeerMessage {}
+
+    /**
+     * Tells a model's home how much the sender needs the model.
+     *
+     * @param model the model, not null
+     * @param queued calls that wait for a replica
+     * @param inFlight calls on replicas
+     * @param arrivals calls that arrived since the sender's last report
+     */
+    record Demand(ModelName model, int queued, int inFlight, int arrivals) implements PeerMessage {}
+
+    /**
+     * Tells an entry where a model's replicas are.
+     *
+     * @param model the model, not null
+     * @param recordVersion the version of the model's record that the answer reflects
+     * @param replicas the replicas, not null
+     * @param refusal why no replica is to be expected, null if one is there or on its way
+     * @param retryAfter when asking again makes sense, not null
+     */
+    record Placement(ModelName model, long recordVersion, List<Replica> replicas, String refusal, Duration retryAfter)
+            implements PeerMessage {
+
+        /** Copies the list. */
+        public Placement {
+            replicas = List.copyOf(replicas);
+            Objects.requireNonNull(retryAfter, "retryAfter");
+        }
+    }
+
+    /**
+     * Asks for a part of a blob.
+     *
+     * @param name the blob's name, not null
+     * @param offset the first byte wanted
+     */
+    record BlobRequest(String name, int offset) implements PeerMessage {}
+
+    /**
+     * Carries a part of a blob.
+     *
+     * @param name the blob's name, not null
+     * @param offset the position of the first byte
+     * @param totalBytes the blob's size, 0 if the sender does not have it
+     * @param content the bytes, not null
+     */
+    record BlobPart(String name, int offset, int totalBytes, byte[] content) implements PeerMessage {}
+
+    /**
+     * A replica of a model.
+     *
+     * @param slot the placement, not null
+     * @param upstream the upstream, not null
+     * @param address where the upstream listens, not null
+     * @param loaded whether it is loaded
+     * @param eta how long the load is expected to take from now, zero if loaded; not null
+     */
+    record Replica(SlotId slot, UpstreamId upstream, HostPort address, boolean loaded, Duration eta) {}
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/PlacementContext.java
@@ -0,0 +1,43 @@
+package org.tarragonring.placement;
+
+import java.util.Objects;
+
+import org.tarragonring.lease.EntryLease;
+import org.tarragonring.lease.LeaseObserver;
+import org.tarragonring.platform.RecordStore;
+import org.tarragonring.time.MonotonicClock;
+import org.tarragonring.time.Timers;
+import org.tarragonring.upstream.EngineDirectory;
+
+/**
+ * What every placement action of an entry works with.
+ *
+ * @param lease this entry's lease, not null
+ * @param observer watches other entries' leases, not null
+ * @param records the platform's records, not null
+ * @param engines finds engines, not null
+ * @param invariants checks what must hold, not null
+ * @param clock the monotonic clock, not null
+ * @param timers runs polls, not null
+ * @since 0.1.0
+ */
+public record PlacementContext(
+        EntryLease lease,
+        LeaseObserver observer,
+        RecordStore records,
+        EngineDirectory engines,
+        Invariants invariants,
+        MonotonicClock clock,
+        Timers timers) {
+
+    /** Checks the arguments. */
+    public PlacementContext {
+        Objects.requireNonNull(lease, "lease");
+        Objects.requireNonNull(observer, "observer");
+        Objects.requireNonNull(records, "records");
+        Objects.requireNonNull(engines, "engines");
+        Objects.requireNonNull(invariants, "invariants");
+        Objects.requireNonNull(clock, "clock");
+        Objects.requireNonNull(timers, "timers");
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/platform/HttpInstanceList.java
@@ -0,0 +1,69 @@
+package org.tarragonring.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import org.tarragonring.ids.HostPort;
+
+/**
+ * Reads the instance list over HTTP.
+ *
+ * @since 0.1.0
+ */
+public final class HttpInstanceList implements InstanceList {
+
+    private static final int OK = 200;
+
+    private final WebClient client;
+    private final HostPort address;
+    private final Duration timeout;
+
+    /**
+     * Creates a reader.
+     *
+     * @param client the HTTP client, not null
+     * @param address where the platform listens, not null
+     * @param timeout how long to wait for an answer, not null
+     */
+    public HttpInstanceList(WebClient client, HostPort address, Duration timeout) {
+        this.client = Objects.requireNonNull(client, "client");
+        this.address = Objects.requireNonNull(address, "address");
+        this.timeout = Objects.requireNonNull(timeout, "timeout");
+    }
+
+    @Override
+    public Uni<List<Instance>> read() {
+        return Uni.createFrom()
+                .completionStage(() -> client.get(address.port(), address.host(), "/instances")
+                        .timeout(timeout.toMillis())
+                        .send()
+                        .toCompletionStage())
+                .onFailure()
+                .transform(HttpInstanceList::unavailable)
+                .map(HttpInstanceList::parse);
+    }
+
+    private static List<Instance> parse(HttpResponse<Buffer> response) {
+        if (response.statusCode() != OK) {
+            throw unavailable(new IOException("status " + response.statusCode()));
+        }
+        try {
+            return Json.MAPPER.readValue(response.bodyAsBuffer().getBytes(), new TypeReference<List<Instance>>() {});
+        } catch (IOException e) {
+            throw new UncheckedIOException("the instance list is malformed", e);
+        }
+    }
+
+    private static StoreException unavailable(Throwable failure) {
+        return new StoreException(
+                StoreException.Kind.UNAVAILABLE, "the instance list was not read: " + failure.getMessage());
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/platform/Versioned.java
@@ -0,0 +1,19 @@
+package org.tarragonring.platform;
+
+import java.util.Objects;
+
+/**
+ * A record together with the version of the object that holds it.
+ *
+ * @param <T> the record's type
+ * @param version the object's version, 0 if it does not exist
+ * @param body the record, not null
+ * @since 0.1.0
+ */
+public record Versioned<T>(long version, T body) {
+
+    /** Checks the arguments. */
+    public Versioned {
+        Objects.requireNonNull(body, "body");
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/time/VertxTimers.java
@@ -0,0 +1,32 @@
+package org.tarragonring.time;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import io.vertx.core.Vertx;
+
+/**
+ * Runs actions on the timers of a Vert.x instance.
+ *
+ * @since 0.1.0
+ */
+public final class VertxTimers implements Timers {
+
+    private final Vertx vertx;
+
+    /**
+     * Creates timers over a Vert.x instance.
+     *
+     * @param vertx the instance that runs the actions, not null
+     */
+    public VertxTimers(Vertx vertx) {
+        this.vertx = Objects.requireNonNull(vertx, "vertx");
+    }
+
+    @Override
+    public Task schedule(Duration delay, Runnable action) {
+        long delayMillis = Math.max(1, delay.toMillis());
+        long timerId = vertx.setTimer(delayMillis, ignored -> action.run());
+        return () -> vertx.cancelTimer(timerId);
+    }
+}
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The upstreams as peers: model engines and plain services. */
+package org.tarragonring.upstream;
--- /dev/null
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -0,0 +1,89 @@
+namespace java org.tarragonring.peer.wire
+
+/** What one entry knows of another. */
+struct WireMember {
+  1: required string entryId
+  2: required i64 incarnation
+  3: required i32 state
+  4: required string peerAddress
+  5: required string callerAddress
+  6: required string failureDomain
+}
+
+/** Something that every entry should know for a while. */
+struct WireNotice {
+  1: required i32 kind
+  2: required string subject
+  3: required i64 sequence
+  4: required i64 remainingMillis
+}
+
+struct WireProbe {
+  1: required i64 sequence
+}
+
+struct WireProbeAck {
+  1: required i64 sequence
+}
+
+struct WireIndirectProbe {
+  1: required i64 sequence
+  2: required string targetId
+  3: required string targetAddress
+}
+
+struct WireDemand {
+  1: required string model
+  2: required i32 queued
+  3: required i32 inFlight
+  4: required i32 arrivals
+}
+
+struct WireReplica {
+  1: required string slot
+  2: required string upstream
+  3: required string address
+  4: required bool loaded
+  5: required i64 etaMillis
+}
+
+struct WirePlacement {
+  1: required string model
+  2: required i64 recordVersion
+  3: required list<WireReplica> replicas
+  4: optional string refusal
+  5: optional i64 retryAfterMillis
+}
+
+struct WireBlobRequest {
+  1: required string name
+  2: required i32 offset
+}
+
+struct WireBlobPart {
+  1: required string name
+  2: required i32 offset
+  3: required i32 totalBytes
+  4: required binary content
+}
+
+union WireBody {
+  1: WireProbe probe
+  2: WireProbeAck probeAck
+  3: WireIndirectProbe indirectProbe
+  4: WireDemand demand
+  5: WirePlacement placement
+  6: WireBlobRequest blobRequest
+  7: WireBlobPart blobPart
+}
+
+/** One datagram between entries. */
+struct WireDatagram {
+  1: required i32 protocolVersion
+  2: required string fromId
+  3: required string fromAddress
+  4: required i64 configGeneration
+  5: required WireBody body
+  6: optional list<WireMember> members
+  7: optional list<WireNotice> notices
+}
--- /dev/null
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for plain services. */
+package org.tarragonring.standin.service;
