--- a/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -322,6 +322,7 @@
                 records,
                 directory,
                 invariants,
+                id -> table.find(id).filter(Member::isUsable).isPresent(),
                 clocks.monotonic(),
                 timers);
         Set<SlotId> active = Reconciler.noActiveSlots();
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
@@ -37,6 +37,7 @@
     private final PlacementContext context;
     private final LoadPermits permits;
     private final Delays delays;
+    private final StoreRetry retry;
 
     /**
      * Creates a loader.
@@ -48,6 +49,7 @@
         this.context = Objects.requireNonNull(context, "context");
         this.permits = Objects.requireNonNull(permits, "permits");
         this.delays = new Delays(context.timers());
+        this.retry = new StoreRetry(context.lease(), delays);
     }
 
     /**
@@ -61,13 +63,15 @@
     public Uni<Void> load(LoadRequest request) {
         return context.engines()
                 .find(request.upstream())
-                .map(engine -> reserve(request, engine)
-                        .chain(() -> takeSlot(request))
+                .map(engine -> retry.run(() -> reserve(request, engine))
+                        .chain(() -> retry.run(() -> takeSlot(request)))
                         .chain(() -> takePermit(request))
                         .chain(() -> armAndSend(request, engine, MAX_STALE_FENCES))
                         .chain(() -> awaitLoaded(request, engine, null))
-                        .chain(() -> confirm(request))
-                        .chain(() -> permits.release(request.slot().value())))
+                        .chain(() -> retry.run(() -> confirm(request)))
+                        .call(() -> permits.release(request.slot().value())
+                                .onFailure()
+                                .recoverWithNull()))
                 .orElseGet(() -> Uni.createFrom().failure(engineFailure(request, "is not listed")));
     }
 
@@ -137,7 +141,7 @@
     }
 
     private Uni<Void> takePermit(LoadRequest request) {
-        return permits.acquire(request.slot().value(), 1).chain(taken -> {
+        return retry.run(() -> permits.acquire(request.slot().value(), 1)).chain(taken -> {
             if (taken) {
                 return Uni.createFrom().voidItem();
             }
@@ -152,8 +156,8 @@
      */
     private Uni<Void> armAndSend(LoadRequest request, Engine engine, int attemptsLeft) {
         long armingNanos = context.clock().nanos();
-        return context.records()
-                .update(RecordType.UPSTREAM, request.upstream().value(), old -> armed(old, request))
+        return retry.run(() -> context.records()
+                        .update(RecordType.UPSTREAM, request.upstream().value(), old -> armed(old, request)))
                 .chain(now -> {
                     long elapsedNanos = context.clock().nanos() - armingNanos;
                     if (elapsedNanos >= context.lease().timing().duration().toNanos()) {
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
@@ -74,7 +74,7 @@
         lock.lock();
         try {
             demand.report(from, report, nowMillis());
-            boolean unserved = report.queued() > 0 && recorded.stream().anyMatch(ReplicaView::loaded);
+            boolean unserved = report.queued() > 0 && !recorded.isEmpty();
             verify = unserved && nowMillis() - refreshedAtMillis >= VERIFY_PERIOD.toMillis();
         } finally {
             lock.unlock();
@@ -321,7 +321,7 @@
             changed = recordVersion < 0 || !loadedSlots(recorded).equals(loadedSlots(view.replicas()));
             recordVersion = Math.max(recordVersion, view.version());
             recorded = view.replicas();
-            if (!recorded.isEmpty()) {
+            if (recorded.stream().anyMatch(ReplicaView::usable)) {
                 refusal = null;
             }
         } finally {
@@ -379,7 +379,7 @@
     }
 
     private Optional<PeerMessage.Replica> wire(ReplicaView replica) {
-        if (replica.loaded() && !replica.usable()) {
+        if (!replica.usable()) {
             return Optional.empty();
         }
         return context.directory()
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/PlacementContext.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/PlacementContext.java
@@ -1,7 +1,9 @@
 package org.tarragonring.placement;
 
 import java.util.Objects;
+import java.util.function.Predicate;
 
+import org.tarragonring.ids.EntryId;
 import org.tarragonring.lease.EntryLease;
 import org.tarragonring.lease.LeaseObserver;
 import org.tarragonring.platform.RecordStore;
@@ -17,6 +19,7 @@
  * @param records the platform's records, not null
  * @param engines finds engines, not null
  * @param invariants checks what must hold, not null
+ * @param isMember says if an entry is reached by others; a hint, not null
  * @param clock the monotonic clock, not null
  * @param timers runs polls, not null
  * @since 0.1.0
@@ -27,6 +30,7 @@
         RecordStore records,
         EngineDirectory engines,
         Invariants invariants,
+        Predicate<EntryId> isMember,
         MonotonicClock clock,
         Timers timers) {
 
@@ -37,6 +41,7 @@
         Objects.requireNonNull(records, "records");
         Objects.requireNonNull(engines, "engines");
         Objects.requireNonNull(invariants, "invariants");
+        Objects.requireNonNull(isMember, "isMember");
         Objects.requireNonNull(clock, "clock");
         Objects.requireNonNull(timers, "timers");
     }
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
@@ -103,16 +103,29 @@
         if (reservation.state() == ReservationState.QUARANTINED) {
             return free(upstream, reservation);
         }
-        return isAbandoned(reservation)
+        Optional<EngineStatus.Resident> resident = status.find(reservation.slot());
+        if (reservation.state() == ReservationState.LOADING && resident.isPresent()) {
+            return resident.get().loaded()
+                    ? finish(upstream, reservation)
+                    : Uni.createFrom().voidItem();
+        }
+        return isAbandoned(reservation, status)
                 .chain(abandoned -> abandoned
-                        ? settleAbandoned(upstream, reservation, status)
+                        ? settleAbandoned(upstream, reservation)
                         : Uni.createFrom().voidItem());
     }
 
-    /** Checks if nobody works on a reservation: its holder's lease ended, or this entry holds it without acting. */
-    private Uni<Boolean> isAbandoned(Reservation reservation) {
+    /**
+     * Checks if nobody works on a reservation. Where a conditional update or the engine's fence keeps a holder out
+     * that works on after all, being out of reach is enough; elsewhere its lease must have ended.
+     */
+    private Uni<Boolean> isAbandoned(Reservation reservation, EngineStatus status) {
         if (reservation.heldBy(context.lease().entry(), context.lease().epoch())) {
-            return Uni.createFrom().item(!active.contains(reservation.slot()));
+            return Uni.createFrom().item(true);
+        }
+        boolean holderIsKeptOut = reservation.state() == ReservationState.RESERVED || status.honoursFence();
+        if (holderIsKeptOut && !context.isMember().test(reservation.holder())) {
+            return Uni.createFrom().item(true);
         }
         return context.observer().hasEnded(reservation.holder(), reservation.holderEpoch());
     }
@@ -130,17 +143,12 @@
                         : Uni.createFrom().voidItem());
     }
 
-    private Uni<Void> settleAbandoned(UpstreamId upstream, Reservation reservation, EngineStatus status) {
+    private Uni<Void> settleAbandoned(UpstreamId upstream, Reservation reservation) {
         LogEvent.TAKEN_OVER.log(reservation.slot(), upstream, reservation.holder(), reservation.state());
-        boolean loaded = status.find(reservation.slot())
-                .map(EngineStatus.Resident::loaded)
-                .orElse(false);
-        if (reservation.state() == ReservationState.LOADING && loaded) {
-            return finish(upstream, reservation);
-        }
         return free(upstream, reservation);
     }
 
+    /** Records a load that the engine has completed, whoever ordered it. */
     private Uni<Void> finish(UpstreamId upstream, Reservation reservation) {
         return context.records()
                 .update(
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Releaser.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Releaser.java
@@ -33,6 +33,7 @@
 
     private final PlacementContext context;
     private final Delays delays;
+    private final StoreRetry retry;
 
     /**
      * Creates a releaser.
@@ -42,6 +43,7 @@
     public Releaser(PlacementContext context) {
         this.context = Objects.requireNonNull(context, "context");
         this.delays = new Delays(context.timers());
+        this.retry = new StoreRetry(context.lease(), delays);
     }
 
     /**
@@ -87,14 +89,14 @@
         }
         Target target = new Target(upstream, reservation, engine.get());
         boolean loadOrderWasTaken = reservation.state() == ReservationState.LOADED;
-        return startUnload(target)
+        return retry.run(() -> startUnload(target))
                 .chain(fence -> engine.get().status().chain(before -> {
                     Unload unload =
                             new Unload(before.incarnation(), context.clock().nanos(), loadOrderWasTaken);
                     return order(target, fence).chain(() -> awaitAbsent(target, unload));
                 }))
-                .chain(() -> freeSlot(reservation))
-                .chain(() -> freeMemory(target));
+                .chain(() -> retry.run(() -> freeSlot(reservation)))
+                .chain(() -> retry.run(() -> freeMemory(target)));
     }
 
     private Uni<Long> startUnload(Target target) {
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ReplicaOperations.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ReplicaOperations.java
@@ -13,6 +13,7 @@
 import org.tarragonring.home.Rendezvous;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.SlotId;
+import org.tarragonring.lease.EntryLease;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.platform.Instance;
 import org.tarragonring.platform.ModelRecord;
@@ -249,17 +250,32 @@
 
     private Optional<ReplicaView> view(Slot slot, UpstreamRecord upstream) {
         return upstream.find(slot.id())
-                .filter(r -> r.state() != ReservationState.UNLOADING)
                 .map(r -> new ReplicaView(
                         slot.id(),
                         slot.upstream(),
                         slot.version(),
                         r.state() == ReservationState.LOADED,
-                        context.directory().mayGetWork(slot.upstream()),
+                        isUsable(r) && context.directory().mayGetWork(slot.upstream()),
                         context.placement().clock().millis()
                                 + Duration.ofSeconds(1).toMillis()));
     }
 
+    /** Checks if a replica serves or is on its way; not if it is being freed. */
+    private boolean isUsable(Reservation reservation) {
+        return switch (reservation.state()) {
+            case LOADED -> true;
+            case RESERVED, LOADING -> !isLeftHere(reservation);
+            default -> false;
+        };
+    }
+
+    /** Checks if a reservation is this entry's own although it no longer works on it. */
+    private boolean isLeftHere(Reservation reservation) {
+        EntryLease lease = context.placement().lease();
+        return reservation.heldBy(lease.entry(), lease.epoch())
+                && !context.active().contains(reservation.slot());
+    }
+
     /**
      * A model's replicas as the records have them.
      *
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/StoreRetry.java
@@ -0,0 +1,36 @@
+package org.tarragonring.placement;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.function.Supplier;
+
+import io.smallrye.mutiny.Uni;
+import org.tarragonring.lease.EntryLease;
+import org.tarragonring.platform.StoreException;
+import org.tarragonring.time.Delays;
+
+/**
+ * Repeats idempotent steps that the platform's store failed, for as long as this entry's lease holds.
+ *
+ * @since 0.1.0
+ */
+final class StoreRetry {
+
+    private static final Duration PERIOD = Duration.ofMillis(200);
+
+    private final EntryLease lease;
+    private final Delays delays;
+
+    StoreRetry(EntryLease lease, Delays delays) {
+        this.lease = Objects.requireNonNull(lease, "lease");
+        this.delays = Objects.requireNonNull(delays, "delays");
+    }
+
+    /** Runs a step until the store answers it or the lease ends; other failures end it at once. */
+    <T> Uni<T> run(Supplier<Uni<T>> step) {
+        return Uni.createFrom()
+                .deferred(() -> step.get())
+                .onFailure(failure -> failure instanceof StoreException && lease.isValid())
+                .recoverWithUni(() -> delays.after(PERIOD).chain(() -> run(step)));
+    }
+}
