--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/BenchCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/BenchCommand.java
@@ -10,7 +10,11 @@
  *
  * @since 0.1.0
  */
-@Command(name = "bench", description = "Measures the system.", mixinStandardHelpOptions = true)
+@Command(
+        name = "bench",
+        description = "Measures the system.",
+        mixinStandardHelpOptions = true,
+        subcommands = {ControlBench.class, StateBench.class})
 public final class BenchCommand implements Callable<Integer> {
 
     @CommandLine.Spec
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/CallServices.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/CallServices.java
@@ -35,6 +35,7 @@
  * @param retries bounds retries, not null
  * @param shares divides the entry between teams, not null
  * @param homes tells where callers of a model should connect, best first, not null
+ * @param ready says if the entry holds a configuration that it may serve by, not null
  * @param leaving says if the entry is shutting down, not null
  * @param callIds makes call ids, not null
  * @param clock the monotonic clock, not null
@@ -55,6 +56,7 @@
         RetryBudget retries,
         TeamShares shares,
         Function<ModelName, List<Member>> homes,
+        BooleanSupplier ready,
         BooleanSupplier leaving,
         Supplier<CallId> callIds,
         MonotonicClock clock,
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/CallerHandler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/CallerHandler.java
@@ -221,6 +221,7 @@
     private ConfigSet config() {
         return services.config()
                 .current()
+                .filter(snapshot -> services.ready().getAsBoolean())
                 .map(snapshot -> snapshot.set())
                 .orElseThrow(() -> CallException.notRun(
                         RefusalReason.SHUTTING_DOWN, "the entry has no configuration yet, ask another one"));
--- a/tarragonring-core/src/main/java/org/tarragonring/config/ConfigHolder.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/config/ConfigHolder.java
@@ -64,14 +64,19 @@
             return false;
         }
         Map<String, byte[]> used = new HashMap<>();
-        List<ConfigObject> objects = manifest.chunkSha256s().stream()
-                .filter(sha256 -> !sha256.isEmpty())
-                .flatMap(sha256 -> {
-                    used.put(sha256, chunks.get(sha256));
-                    return ConfigChunks.read(sha256, chunks.get(sha256)).stream();
-                })
-                .toList();
-        Snapshot next = new Snapshot(manifest, ConfigChecker.checkPublished(objects), Map.copyOf(used));
+        Map<String, List<ConfigObject>> parsed = new HashMap<>();
+        Map<String, List<ConfigObject>> known = current().map(Snapshot::objects).orElse(Map.of());
+        for (String sha256 : manifest.chunkSha256s()) {
+            if (!sha256.isEmpty()) {
+                used.put(sha256, chunks.get(sha256));
+                List<ConfigObject> same = known.get(sha256);
+                parsed.put(sha256, same == null ? ConfigChunks.read(sha256, chunks.get(sha256)) : same);
+            }
+        }
+        List<ConfigObject> objects =
+                parsed.values().stream().flatMap(List::stream).toList();
+        Snapshot next =
+                new Snapshot(manifest, ConfigChecker.checkPublished(objects), Map.copyOf(used), Map.copyOf(parsed));
         lock.lock();
         try {
             if (manifest.generation() <= generation()) {
@@ -92,6 +97,11 @@
      * @param manifest its manifest, not null
      * @param set its objects, not null
      * @param chunks its compressed chunks by content hash, for other entries; not null
+     * @param objects its objects by the content hash of their chunk, for the next generation; not null
      */
-    public record Snapshot(ConfigManifest manifest, ConfigSet set, Map<String, byte[]> chunks) {}
+    public record Snapshot(
+            ConfigManifest manifest,
+            ConfigSet set,
+            Map<String, byte[]> chunks,
+            Map<String, List<ConfigObject>> objects) {}
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -62,6 +62,7 @@
 
     private static final Duration TICK_PERIOD = Duration.ofMillis(500);
     private static final Duration DIRECTORY_PERIOD = Duration.ofSeconds(1);
+    private static final int ENTRIES_PER_DIRECTORY_TICK = 150;
     private static final Duration RECONCILE_PERIOD = Duration.ofSeconds(5);
     private static final Duration PERMIT_LIFETIME = Duration.ofSeconds(60);
     private static final Duration START_RETRY = Duration.ofSeconds(1);
@@ -90,6 +91,7 @@
     private ConfigSpread spread;
     private Reconciler reconciler;
     private ModelHomes modelHomes;
+    private int directoryTicks;
     private volatile boolean running;
 
     /**
@@ -146,7 +148,7 @@
                 .chain(this::readOthers)
                 .invoke(others -> {
                     build(callerAddress, peerAddress);
-                    others.forEach(table::apply);
+                    others.forEach(table::seed);
                     startWork();
                 })
                 .replaceWithVoid();
@@ -352,7 +354,7 @@
         hub.others().forEach(detector::join);
         refreshDirectory();
         tasks.add(timers.repeat(TICK_PERIOD, this::tick));
-        tasks.add(timers.repeat(DIRECTORY_PERIOD, this::refreshDirectory));
+        tasks.add(timers.repeat(DIRECTORY_PERIOD, this::refreshDirectoryIfDue));
         tasks.add(timers.repeat(RECONCILE_PERIOD, this::reconcileOwned));
     }
 
@@ -376,11 +378,29 @@
         }
     }
 
+    /** Reads the instance list less often the more entries do, so that the platform's load stays bounded. */
+    private void refreshDirectoryIfDue() {
+        directoryTicks++;
+        int ticksPerRead = 1 + table.usable().size() / ENTRIES_PER_DIRECTORY_TICK;
+        if (directoryTicks % ticksPerRead == 0) {
+            refreshDirectory();
+        }
+    }
+
     private void refreshDirectory() {
         directory.refresh().subscribe().with(done -> {}, failure -> {});
     }
 
     private void reconcileOwned() {
+        if (!lease.isValid()) {
+            return;
+        }
+        for (UpstreamId upstream : reconciler.takeUnfinished()) {
+            reconciler
+                    .reconcileNow(upstream)
+                    .subscribe()
+                    .with(done -> {}, failure -> reconciler.leaveUnfinished(upstream));
+        }
         for (Instance instance : directory.engines()) {
             if (homes.owns(instance.id())) {
                 reconcile(instance.id());
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
@@ -270,6 +270,7 @@
                 new RetryBudget(),
                 new TeamShares(settings.callsInFlight()),
                 control::homes,
+                control::isReady,
                 () -> leaving,
                 () -> new CallId(UUID.randomUUID().toString()),
                 clocks.monotonic(),
--- a/tarragonring-core/src/main/java/org/tarragonring/home/HomeSelector.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/home/HomeSelector.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
 import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.Hashes;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.Member;
@@ -76,10 +76,10 @@
      * @return true if it does
      */
     public boolean owns(UpstreamId upstream) {
-        return cache().owners
-                .computeIfAbsent(upstream, key -> best(UPSTREAM_PREFIX + key))
-                .filter(self::equals)
-                .isPresent();
+        Cache present = cache();
+        int owner = present.owners.computeIfAbsent(
+                upstream, key -> Rendezvous.best(UPSTREAM_PREFIX + key, present.nameHashes));
+        return owner >= 0 && present.members.get(owner).id().equals(self);
     }
 
     /**
@@ -107,12 +107,6 @@
         return present;
     }
 
-    private Optional<EntryId> best(String key) {
-        return Rendezvous.rank(key, cache().members, HomeSelector::name).stream()
-                .map(Member::id)
-                .findFirst();
-    }
-
     private static List<Member> spread(List<Member> ranked) {
         List<Member> ordered = new ArrayList<>();
         List<Member> rest = new ArrayList<>();
@@ -135,11 +129,14 @@
     private static final class Cache {
 
         private final List<Member> members;
+        private final long[] nameHashes;
         private final Map<ModelName, List<Member>> homes = new ConcurrentHashMap<>();
-        private final Map<UpstreamId, Optional<EntryId>> owners = new ConcurrentHashMap<>();
+        private final Map<UpstreamId, Integer> owners = new ConcurrentHashMap<>();
 
         private Cache(List<Member> members) {
             this.members = members;
+            this.nameHashes =
+                    members.stream().mapToLong(m -> Hashes.of(m.id().value())).toArray();
         }
     }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/home/Rendezvous.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/home/Rendezvous.java
@@ -1,12 +1,11 @@
 package org.tarragonring.home;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
 
-import org.apache.commons.codec.digest.MurmurHash3;
+import org.tarragonring.ids.Hashes;
 
 /**
  * Ranks candidates for a key by rendezvous hashing: when a candidate comes or goes, no two others change order.
@@ -27,26 +26,34 @@
      * @return the candidates, best first
      */
     public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> name) {
+        long keyHash = Hashes.of(key);
         return candidates.stream()
-                .map(candidate -> new Scored<>(candidate, score(key, name.apply(candidate)), name.apply(candidate)))
-                .sorted(Comparator.comparingLong((Scored<T> s) -> s.score)
-                        .reversed()
-                        .thenComparing(s -> s.name))
+                .map(candidate -> new Scored<>(candidate, Hashes.mix(keyHash, Hashes.of(name.apply(candidate)))))
+                .sorted(Comparator.comparingLong((Scored<T> s) -> s.score).reversed())
                 .map(Scored::candidate)
                 .toList();
     }
 
     /**
-     * Scores one candidate.
+     * Finds the best candidate.
      *
      * @param key what is placed, not null
-     * @param name the candidate's name, not null
-     * @return the score; the highest wins
+     * @param nameHashes the candidates' names as {@link Hashes#of} hashes them, not null
+     * @return the index of the candidate that {@link #rank} puts first, -1 if there is none
      */
-    public static long score(String key, String name) {
-        byte[] bytes = (key + '\0' + name).getBytes(StandardCharsets.UTF_8);
-        return MurmurHash3.hash128x64(bytes)[0];
+    public static int best(String key, long[] nameHashes) {
+        long keyHash = Hashes.of(key);
+        int best = -1;
+        long bestScore = Long.MIN_VALUE;
+        for (int i = 0; i < nameHashes.length; i++) {
+            long score = Hashes.mix(keyHash, nameHashes[i]);
+            if (best < 0 || score > bestScore) {
+                best = i;
+                bestScore = score;
+            }
+        }
+        return best;
     }
 
-    private record Scored<T>(T candidate, long score, String name) {}
+    private record Scored<T>(T candidate, long score) {}
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/lease/EntryLease.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/lease/EntryLease.java
@@ -9,6 +9,7 @@
 import org.tarragonring.platform.LeaseRecord;
 import org.tarragonring.platform.RecordStore;
 import org.tarragonring.platform.RecordType;
+import org.tarragonring.platform.Versioned;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
 
@@ -35,6 +36,7 @@
     private volatile long validUntilNanos;
     private volatile boolean held;
     private volatile boolean leaving;
+    private volatile Versioned<LeaseRecord> latest;
     private volatile Timers.Task renewal = () -> {};
 
     /**
@@ -73,6 +75,7 @@
         long sentNanos = clock.nanos();
         return records.update(RecordType.LEASE, entry.value(), old -> record(old.epoch() + 1, 0, false))
                 .invoke(taken -> {
+                    latest = taken;
                     epoch = taken.body().epoch();
                     extend(sentNanos);
                     renewal = timers.repeat(timing.renewal(), this::renew);
@@ -142,14 +145,16 @@
         }
         long sentNanos = clock.nanos();
         long renewedEpoch = epoch;
-        records.update(
+        records.updateKnown(
                         RecordType.LEASE,
                         entry.value(),
+                        latest,
                         old -> old.epoch() == renewedEpoch ? record(renewedEpoch, old.renewals() + 1, leaving) : old)
                 .subscribe()
                 .with(
                         renewed -> {
                             renewing.set(false);
+                            latest = renewed;
                             onRenewed(renewed.body(), renewedEpoch, sentNanos);
                         },
                         failure -> {
--- a/tarragonring-core/src/main/java/org/tarragonring/membership/MemberTable.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/membership/MemberTable.java
@@ -66,6 +66,22 @@
         }
     }
 
+    /**
+     * Takes a member that a starting entry was told of, which others know already and need not be told.
+     *
+     * @param member the member, not null
+     */
+    public void seed(Member member) {
+        lock.lock();
+        try {
+            if (apply(member)) {
+                pendingTransmits.remove(member.id());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Marks this entry as leaving.
      */
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
@@ -30,7 +30,7 @@
 public final class ModelHome {
 
     private static final Duration VERIFY_PERIOD = Duration.ofSeconds(1);
-    private static final Duration REFRESH_PERIOD = Duration.ofSeconds(10);
+    private static final Duration REFRESH_PERIOD = Duration.ofSeconds(30);
     private static final Duration MIN_ETA = Duration.ofMillis(200);
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofSeconds(5);
 
@@ -277,7 +277,7 @@
         }
         List<Uni<Void>> checks = upstreams.stream()
                 .map(upstream ->
-                        context.reconciler().reconcile(upstream).onFailure().recoverWithNull())
+                        context.reconciler().reconcileNow(upstream).onFailure().recoverWithNull())
                 .toList();
         if (!checks.isEmpty()) {
             Uni.join().all(checks).andCollectFailures().subscribe().with(done -> refreshNow(), failure -> refreshNow());
@@ -308,6 +308,8 @@
         lock.lock();
         try {
             refreshing = false;
+            refreshedAtMillis =
+                    nowMillis() - REFRESH_PERIOD.minus(VERIFY_PERIOD).toMillis();
         } finally {
             lock.unlock();
         }
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
@@ -35,6 +35,8 @@
     private final Releaser releaser;
     private final Set<SlotId> active;
     private final Consumer<ModelName> residents;
+    private final SettledUpstreams settled;
+    private final Set<UpstreamId> unfinished = ConcurrentHashMap.newKeySet();
 
     /**
      * Creates a reconciler.
@@ -50,6 +52,7 @@
         this.releaser = Objects.requireNonNull(releaser, "releaser");
         this.active = Objects.requireNonNull(active, "active");
         this.residents = Objects.requireNonNull(residents, "residents");
+        this.settled = new SettledUpstreams(context.clock());
     }
 
     /**
@@ -62,13 +65,48 @@
     }
 
     /**
-     * Reconciles one upstream.
+     * Reconciles one upstream, unless it was settled a short while ago and its engine reports nothing new.
      *
      * @param upstream the upstream, not null
      * @return completes when everything that could be settled now is settled; what needs time is settled in a
      *     later run
      */
     public Uni<Void> reconcile(UpstreamId upstream) {
+        return reconcile(upstream, true);
+    }
+
+    /**
+     * Reconciles one upstream, whatever was found a while ago.
+     *
+     * @param upstream the upstream, not null
+     * @return completes as {@link #reconcile} does
+     */
+    public Uni<Void> reconcileNow(UpstreamId upstream) {
+        return reconcile(upstream, false);
+    }
+
+    /**
+     * Notes that this entry left something undone on an upstream, such as a load that could not be undone while the
+     * platform was away.
+     *
+     * @param upstream the upstream, not null
+     */
+    public void leaveUnfinished(UpstreamId upstream) {
+        unfinished.add(upstream);
+    }
+
+    /**
+     * Takes the upstreams on which this entry left something undone.
+     *
+     * @return the upstreams; they are to be reconciled by this entry whoever owns them
+     */
+    public List<UpstreamId> takeUnfinished() {
+        List<UpstreamId> taken = List.copyOf(unfinished);
+        unfinished.removeAll(taken);
+        return taken;
+    }
+
+    private Uni<Void> reconcile(UpstreamId upstream, boolean trustsEarlier) {
         if (!context.lease().isValid()) {
             return Uni.createFrom().voidItem();
         }
@@ -78,12 +116,26 @@
                     ? forget(upstream)
                     : Uni.createFrom().voidItem();
         }
+        return engine.get().status().chain(status -> {
+            if (trustsEarlier && settled.isStillSettled(upstream, status)) {
+                return Uni.createFrom().voidItem();
+            }
+            return settle(upstream, engine.get(), status);
+        });
+    }
+
+    private Uni<Void> settle(UpstreamId upstream, Engine engine, EngineStatus status) {
         return context.records()
                 .read(RecordType.UPSTREAM, upstream.value())
-                .chain(before -> engine.get()
-                        .status()
-                        .chain(status -> settle(upstream, before.body(), status)
-                                .chain(() -> countUnknown(upstream, engine.get()))));
+                .chain(found -> settle(upstream, found.body(), status)
+                        .chain(() -> hasUnknown(found.body(), status)
+                                ? countUnknown(upstream, engine)
+                                : Uni.createFrom().voidItem())
+                        .invoke(() -> settled.judge(upstream, found.body(), status)));
+    }
+
+    private static boolean hasUnknown(UpstreamRecord record, EngineStatus status) {
+        return status.residents().stream().anyMatch(r -> record.find(r.slot()).isEmpty());
     }
 
     private Uni<Void> settle(UpstreamId upstream, UpstreamRecord record, EngineStatus status) {
@@ -174,15 +226,16 @@
                 .onTermination()
                 .invoke(() -> active.remove(reservation.slot()))
                 .subscribe()
-                .with(
-                        done -> LogEvent.UNLOADED.log(reservation.model(), upstream, "reconciled"),
-                        failure -> LogEvent.UNLOAD_FAILED.log(reservation.slot(), upstream, failure.getMessage()));
+                .with(done -> LogEvent.UNLOADED.log(reservation.model(), upstream, "reconciled"), failure -> {
+                    leaveUnfinished(upstream);
+                    LogEvent.UNLOAD_FAILED.log(reservation.slot(), upstream, failure.getMessage());
+                });
         return Uni.createFrom().voidItem();
     }
 
     /**
-     * Counts residents that no record names. The record is read after the report, so that a slot that was freed
-     * between both is not taken for unknown without the engine still showing it.
+     * Counts residents that no record names. The report is read again before the record, so that a slot that was
+     * freed meanwhile is not taken for unknown.
      */
     private Uni<Void> countUnknown(UpstreamId upstream, Engine engine) {
         return engine.status().chain(status -> {
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ReplicaOperations.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ReplicaOperations.java
@@ -13,6 +13,7 @@
 import org.tarragonring.home.Rendezvous;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.SlotId;
+import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.lease.EntryLease;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.platform.Instance;
@@ -70,7 +71,7 @@
                 .map(Slot::upstream)
                 .filter(context.directory()::isGone)
                 .forEach(upstream -> context.reconciler()
-                        .reconcile(upstream)
+                        .reconcileNow(upstream)
                         .subscribe()
                         .with(done -> {}, failure -> LogEvent.RECONCILE_FAILED.log(upstream, failure.getMessage())));
     }
@@ -104,16 +105,18 @@
      * @return completes when slot and memory are free
      */
     public Uni<Void> release(ModelName model, ReplicaView replica) {
-        return release(model, replica.slot(), () -> context.releaser().release(replica.upstream(), replica.slot()));
+        return release(model, replica.upstream(), replica.slot());
     }
 
-    private Uni<Void> release(ModelName model, SlotId slot, java.util.function.Supplier<Uni<Void>> releasing) {
+    private Uni<Void> release(ModelName model, UpstreamId upstream, SlotId slot) {
         context.active().add(slot);
-        return releasing
-                .get()
+        return context.releaser()
+                .release(upstream, slot)
                 .chain(() ->
                         context.placement().records().update(RecordType.MODEL, model.value(), old -> old.without(slot)))
                 .replaceWithVoid()
+                .onFailure()
+                .invoke(failure -> context.reconciler().leaveUnfinished(upstream))
                 .onTermination()
                 .invoke(() -> context.active().remove(slot));
     }
@@ -157,10 +160,8 @@
         Uni<Void> evicted = Uni.createFrom().voidItem();
         for (SlotId slot : plan.evictions()) {
             Reservation reservation = plan.candidate().record().find(slot).orElseThrow();
-            evicted = evicted.chain(() -> release(
-                    reservation.model(),
-                    slot,
-                    () -> context.releaser().release(plan.candidate().instance().id(), slot)));
+            evicted = evicted.chain(() ->
+                    release(reservation.model(), plan.candidate().instance().id(), slot));
         }
         return evicted;
     }
@@ -173,6 +174,8 @@
                         .update(RecordType.MODEL, request.model().value(), old -> old.without(request.slot())))
                 .replaceWithVoid()
                 .onFailure()
+                .invoke(failure -> context.reconciler().leaveUnfinished(request.upstream()))
+                .onFailure()
                 .recoverWithNull();
     }
 
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/RecordStore.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/platform/RecordStore.java
@@ -79,6 +79,26 @@
         return attempt(type, name, change, tokens.get(), MAX_ATTEMPTS);
     }
 
+    /**
+     * Changes a record that this process wrote last, without reading it first unless it was changed meanwhile.
+     *
+     * @param <T> the record's type
+     * @param type the kind of record, not null
+     * @param name the key's last part, not null
+     * @param known the record as this process wrote it, not null
+     * @param change makes the new record from the current one, not null
+     * @return the record as it stands after the change
+     */
+    public <T> Uni<Versioned<T>> updateKnown(
+            RecordType<T> type, String name, Versioned<T> known, UnaryOperator<T> change) {
+        T changed = change.apply(known.body());
+        String token = tokens.get();
+        Envelope envelope = new Envelope(List.of(token), Json.tree(changed));
+        Write<T> write = new Write<>(type, name, known.version(), Json.write(envelope), changed, token);
+        return send(write, MAX_ATTEMPTS)
+                .chain(done -> done.isPresent() ? Uni.createFrom().item(done.get()) : update(type, name, change));
+    }
+
     private <T> Uni<Versioned<T>> attempt(
             RecordType<T> type, String name, UnaryOperator<T> change, String token, int attemptsLeft) {
         if (attemptsLeft == 0) {
--- a/tarragonring-core/src/main/java/org/tarragonring/routing/Target.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/routing/Target.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.tarragonring.ids.Hashes;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.UpstreamId;
 
@@ -33,7 +34,7 @@
         this.upstream = Objects.requireNonNull(upstream, "upstream");
         this.address = Objects.requireNonNull(address, "address");
         this.failureDomain = Objects.requireNonNull(failureDomain, "failureDomain");
-        this.nameHash = Mix.spread(name.hashCode());
+        this.nameHash = Hashes.of(name);
     }
 
     /**
@@ -92,6 +93,6 @@
     }
 
     long affinity(long prefixHash) {
-        return Mix.spread(prefixHash ^ nameHash);
+        return Hashes.mix(prefixHash, nameHash);
     }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSpread.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSpread.java
@@ -54,6 +54,7 @@
     private final AtomicBoolean fetching = new AtomicBoolean();
     private final AtomicLong highestSeen = new AtomicLong();
     private volatile boolean headRead;
+    private volatile boolean caughtUp;
     private volatile boolean running;
     private long watchRevision;
 
@@ -104,12 +105,17 @@
     }
 
     /**
-     * Checks if this entry holds the highest generation that it can know of.
+     * Checks if this entry may serve: it has read the platform's head since its start, and has held the highest
+     * generation seen at some moment after that. What it learned from other entries alone is not enough, since
+     * they may be cut off together with it.
      *
-     * @return false before a first generation is in force, and while a higher one was seen
+     * @return true from that moment on
      */
     public boolean isCaughtUp() {
-        return headRead && holder.generation() > 0 && holder.generation() >= highestSeen.get();
+        if (!caughtUp) {
+            caughtUp = headRead && holder.generation() > 0 && holder.generation() >= highestSeen.get();
+        }
+        return caughtUp;
     }
 
     /**
@@ -136,11 +142,10 @@
                 .onTermination()
                 .invoke(() -> fetching.set(false))
                 .subscribe()
-                .with(
-                        done -> headRead = true,
-                        failure -> LogEvent.CONFIG_FETCH_FAILED.log(highestSeen.get(), failure.getMessage()));
+                .with(done -> {}, failure -> LogEvent.CONFIG_FETCH_FAILED.log(highestSeen.get(), failure.getMessage()));
     }
 
+    /** Fetches the chunks that this entry lacks from another entry, and from the platform those that it lacks too. */
     private Uni<Map<String, byte[]>> fetchChunks(HostPort from, ConfigManifest manifest) {
         Map<String, byte[]> chunks = new HashMap<>(known());
         Uni<Void> all = Uni.createFrom().voidItem();
@@ -152,7 +157,7 @@
                         .replaceWithVoid());
             }
         }
-        return all.replaceWith(chunks);
+        return all.onFailure().recoverWithNull().chain(() -> repository.chunks(manifest, chunks));
     }
 
     private void adopt(ConfigManifest manifest, Map<String, byte[]> chunks, String source) {
@@ -179,8 +184,7 @@
                     if (head.isEmpty() || head.get().generation() <= holder.generation()) {
                         return Uni.createFrom().voidItem();
                     }
-                    return repository
-                            .chunks(head.get(), known())
+                    return chunks(head.get())
                             .invoke(chunks -> adopt(head.get(), chunks, "the platform"))
                             .replaceWithVoid();
                 })
@@ -188,6 +192,14 @@
                 .with(done -> headRead = true, failure -> retryHead(failure));
     }
 
+    private Uni<Map<String, byte[]>> chunks(ConfigManifest manifest) {
+        List<HostPort> addresses = others.get();
+        if (addresses.isEmpty() || holder.generation() > 0) {
+            return repository.chunks(manifest, known());
+        }
+        return fetchChunks(addresses.get(random.nextInt(addresses.size())), manifest);
+    }
+
     private void retryHead(Throwable failure) {
         LogEvent.CONFIG_FETCH_FAILED.log("of the platform", failure.getMessage());
         if (running && !headRead) {
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
@@ -30,6 +30,7 @@
     private final Map<HostPort, Engine> engines = new ConcurrentHashMap<>();
     private final Map<UpstreamId, Integer> missedReads = new HashMap<>();
     private final Map<UpstreamId, Integer> lastListedReads = new ConcurrentHashMap<>();
+    private Collection<Instance> lastListed = List.of();
     private volatile int reads;
     private volatile Map<UpstreamId, Instance> instances = Map.of();
 
@@ -63,7 +64,8 @@
 
     @Override
     public boolean isGone(UpstreamId upstream) {
-        return reads - lastListedReads.getOrDefault(upstream, 0) >= READS_BEFORE_GONE;
+        return !instances.containsKey(upstream)
+                && reads - lastListedReads.getOrDefault(upstream, 0) >= READS_BEFORE_GONE;
     }
 
     /**
@@ -109,6 +111,10 @@
 
     private synchronized void take(Collection<Instance> listed) {
         reads++;
+        if (listed == lastListed && missedReads.isEmpty()) {
+            return;
+        }
+        lastListed = listed;
         Map<UpstreamId, Instance> next = new HashMap<>();
         for (Instance instance : listed) {
             next.put(instance.id(), instance);
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/MemoryObjectStore.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/MemoryObjectStore.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -28,6 +30,7 @@
     private final Timers timers;
     private final TreeMap<String, Held> objects = new TreeMap<>();
     private final List<Watcher> watchers = new CopyOnWriteArrayList<>();
+    private final Map<String, AtomicLong> byKind = new ConcurrentSkipListMap<>();
     private final AtomicLong reads = new AtomicLong();
     private final AtomicLong writes = new AtomicLong();
     private long revision;
@@ -44,7 +47,7 @@
     @Override
     public Uni<Optional<StoredObject>> read(String key) {
         return Uni.createFrom().item(() -> {
-            reads.incrementAndGet();
+            count(reads, "read", key);
             return find(key);
         });
     }
@@ -60,7 +63,7 @@
     @Override
     public Uni<Long> write(String key, long expectedVersion, byte[] value) {
         return Uni.createFrom().item(() -> {
-            writes.incrementAndGet();
+            count(writes, "write", key);
             return put(key, expectedVersion, value);
         });
     }
@@ -104,6 +107,15 @@
         return writes.get();
     }
 
+    /**
+     * Returns the reads and writes of single objects so far, by operation and start of the key.
+     *
+     * @return counts
+     */
+    public Map<String, AtomicLong> byKind() {
+        return byKind;
+    }
+
     /**
      * Returns the watches that wait now.
      *
@@ -113,6 +125,12 @@
         return watchers.size();
     }
 
+    private void count(AtomicLong counter, String operation, String key) {
+        counter.incrementAndGet();
+        String kind = key.substring(0, key.indexOf('/') + 1);
+        byKind.computeIfAbsent(operation + " " + kind, k -> new AtomicLong()).incrementAndGet();
+    }
+
     private synchronized Optional<StoredObject> find(String key) {
         Held held = objects.get(key);
         return held == null ? Optional.empty() : Optional.of(held.object);
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/PlatformServer.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/PlatformServer.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
@@ -38,6 +39,7 @@
 
     private static final int UNAVAILABLE = 503;
     private static final int CONFLICT = 412;
+    private static final int NOT_MODIFIED = 304;
     private static final int NOT_FOUND = 404;
 
     private final Vertx vertx;
@@ -45,6 +47,7 @@
     private final MemoryObjectStore store;
     private final Map<UpstreamId, Instance> instances = new ConcurrentSkipListMap<>();
     private final AtomicInteger answersToLose = new AtomicInteger();
+    private final AtomicLong instanceReads = new AtomicLong();
     private volatile Map<UpstreamId, Instance> listed = Map.of();
     private volatile boolean down;
     private volatile Duration listLag = Duration.ZERO;
@@ -95,6 +98,15 @@
         return store;
     }
 
+    /**
+     * Returns how often the instance list was read, unchanged answers included.
+     *
+     * @return a count
+     */
+    public long instanceReads() {
+        return instanceReads.get();
+    }
+
     /**
      * Turns an outage on or off.
      *
@@ -164,7 +176,7 @@
                 routing.next();
             }
         });
-        router.get("/instances").handler(routing -> respond(routing, Json.write(List.copyOf(listed.values()))));
+        router.get("/instances").handler(this::listInstances);
         router.get("/watch").handler(this::watch);
         router.get("/objects").handler(this::list);
         router.get("/objects/:key").handler(this::read);
@@ -173,6 +185,18 @@
         return router;
     }
 
+    private void listInstances(RoutingContext routing) {
+        instanceReads.incrementAndGet();
+        Map<UpstreamId, Instance> shown = listed;
+        String tag = Integer.toHexString(shown.hashCode());
+        routing.response().putHeader("ETag", tag);
+        if (tag.equals(routing.request().getHeader("If-None-Match"))) {
+            routing.response().setStatusCode(NOT_MODIFIED).end();
+        } else {
+            respond(routing, Json.write(List.copyOf(shown.values())));
+        }
+    }
+
     private void read(RoutingContext routing) {
         run(routing, store.read(routing.pathParam("key")), found -> {
             if (found.isEmpty()) {
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
@@ -116,6 +116,10 @@
         return paused;
     }
 
+    String domain() {
+        return domain;
+    }
+
     int steps() {
         return steps;
     }
