Prove calls under failure through eight entries, and mend what failed

Cause: calls had no proof. Ruled out: the relay; tokens were counted rightly. The retry budget began empty, which a site of rare calls never fills; a home kept naming replicas of an engine that no longer answered; a lost replica came back with the home's next answer. Conclusion: exclusion must end by time, or one bad replica starves its caller.

--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ControlNode.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ControlNode.java
@@ -50,6 +50,12 @@
                 new UpstreamDirectory(
                         new HttpInstanceList(client, platform, settings.platformTimeout()),
                         address -> new HttpEngine(client, address, settings.platformTimeout())),
+                action -> vertx.executeBlocking(
+                        () -> {
+                            action.run();
+                            return null;
+                        },
+                        false),
                 new Random(index),
                 Invariants.logging(),
                 placement -> {},
--- /dev/null
+++ b/tarragonring-cli/src/test/java/org/tarragonring/cli/CallFailureTest.java
@@ -0,0 +1,195 @@
+package org.tarragonring.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpMethod;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonring.cli.client.CallResult;
+import org.tarragonring.entry.SettingKey;
+import org.tarragonring.standin.engine.EngineServer;
+import org.tarragonring.standin.service.ServiceServer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Brings about the failures that a call must survive, through real HTTP in one process. */
+class CallFailureTest {
+
+    private static final String MODEL = "quote-tote";
+
+    private TestSite site;
+
+    @BeforeEach
+    void start() throws Exception {
+        site = new TestSite(8, 4, Map.of(SettingKey.SHUTDOWN_LIMIT, "30s"));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        site.close();
+    }
+
+    @Test
+    void burstForAColdModelMakesOneLoadAndEveryoneGetsTheirOwnAnswer() throws Exception {
+        List<Future<CallResult>> calls = IntStream.range(0, 64)
+                .mapToObj(i -> site.chat(i % 8, i % 2 == 0 ? MODEL : "quote-tote-suede", "burst " + i, 6))
+                .toList();
+        for (int i = 0; i < calls.size(); i++) {
+            CallResult result = TestSite.join(calls.get(i));
+            assertTrue(result.isAnswered(), result.describe());
+            assertEquals(TestSite.whole("burst " + i, 6), result.text());
+        }
+        long residents = site.site.engines().stream()
+                .flatMap(e -> e.engine().slotsOf(new org.tarragonring.ids.ModelName(MODEL)).stream())
+                .count();
+        assertTrue(residents <= 3);
+    }
+
+    @Test
+    void streamsAreResumedWhenTheirUpstreamDies() throws Exception {
+        TestSite.join(site.chat(0, MODEL, "warm up", 1));
+        List<Future<CallResult>> calls = IntStream.range(0, 6)
+                .mapToObj(i -> site.chat(i, MODEL, "long " + i, 400))
+                .toList();
+        EngineServer busy = busyEngine();
+        TestSite.await(() -> busy.tokens() > 200);
+        TestSite.join(busy.stop());
+        busy.engine().restart();
+        busy.engine().setLeaving(true);
+        for (int i = 0; i < calls.size(); i++) {
+            CallResult result = TestSite.join(calls.get(i));
+            assertTrue(result.isAnswered(), result.describe());
+            assertEquals(TestSite.whole("long " + i, 400), result.text());
+        }
+    }
+
+    @Test
+    void crashingRequestBreaksAtMostTwoUpstreams() throws Exception {
+        TestSite.join(site.chat(0, MODEL, "warm up", 1));
+        for (int i = 0; i < 8; i++) {
+            CallResult result = TestSite.join(site.chat(i, MODEL, "crash-engine", 4));
+            assertEquals(CallResult.Outcome.REFUSED, result.outcome());
+        }
+        long crashes =
+                site.site.engines().stream().mapToLong(EngineServer::crashes).sum();
+        assertTrue(crashes <= 2, crashes + " upstreams crashed");
+        CallResult innocent = TestSite.join(site.chat(3, MODEL, "innocent", 4));
+        assertTrue(innocent.isAnswered(), innocent.describe());
+    }
+
+    @Test
+    void keyReSentThroughAllEntriesAtOnceRunsOnce() throws Exception {
+        List<Future<CallResult>> calls = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            calls.add(site.book(i, "booking-1"));
+        }
+        for (Future<CallResult> call : calls) {
+            CallResult result = TestSite.join(call);
+            boolean honest = result.isAnswered() || result.verdict().equals("may-have-run");
+            assertTrue(honest, result.describe());
+        }
+        assertEquals(1, site.runs("booking-1"));
+    }
+
+    @Test
+    void answerLostAfterTheRunIsToldTruthfullyEverywhere() throws Exception {
+        site.site.services().forEach(service -> service.loseAnswers(1));
+        CallResult first = TestSite.join(site.book(0, "booking-2"));
+        assertEquals("may-have-run", first.verdict());
+        site.site.services().forEach(service -> service.loseAnswers(0));
+        CallResult again = TestSite.join(site.book(5, "booking-2"));
+        assertEquals("outcome_unknown", again.code());
+        assertEquals("may-have-run", again.verdict());
+        assertEquals(1, site.runs("booking-2"));
+    }
+
+    @Test
+    void answeredKeyIsReplayedThroughAnotherEntry() throws Exception {
+        CallResult first = TestSite.join(site.book(0, "booking-3"));
+        assertTrue(first.isAnswered(), first.describe());
+        CallResult again = TestSite.join(site.book(6, "booking-3"));
+        while (!again.isAnswered()) {
+            assertEquals("outcome_unknown", again.code());
+            again = TestSite.join(site.book(6, "booking-3"));
+        }
+        assertEquals(first.text(), again.text());
+        assertEquals(1, site.runs("booking-3"));
+    }
+
+    @Test
+    void keyUsedWithAnotherRequestIsRefused() throws Exception {
+        TestSite.join(site.book(0, "booking-4"));
+        CallResult other = TestSite.join(site.client.service(
+                site.entry(1), TestSite.KEY, HttpMethod.POST, "/bookings", "booking-4", "another body"));
+        assertEquals("key_reused", other.code());
+        assertEquals("not-run", other.verdict());
+    }
+
+    @Test
+    void bookingsDuringAPlatformOutageDoNotRunAndCanBeSentAgain() throws Exception {
+        site.site.platform().setDown(true);
+        CallResult refused = TestSite.join(site.book(2, "booking-5"));
+        assertEquals("store_unavailable", refused.code());
+        assertEquals("not-run", refused.verdict());
+        assertEquals(0, site.runs("booking-5"));
+        site.site.platform().setDown(false);
+        CallResult again = TestSite.join(site.book(3, "booking-5"));
+        assertTrue(again.isAnswered(), again.describe());
+        assertEquals(1, site.runs("booking-5"));
+    }
+
+    @Test
+    void lostAnswerToAClaimIsReadBack() throws Exception {
+        site.site.platform().loseAnswers(1);
+        CallResult result = TestSite.join(site.book(4, "booking-6"));
+        assertTrue(result.isAnswered(), result.describe());
+        assertEquals(1, site.runs("booking-6"));
+    }
+
+    @Test
+    void deadInstanceOfAServiceIsPassedOver() throws Exception {
+        for (int i = 0; i < 40; i++) {
+            TestSite.join(site.book(0, "fill-" + i));
+        }
+        ServiceServer dead = site.site.services().get(0);
+        TestSite.join(dead.stop());
+        int answered = 0;
+        for (int i = 0; i < 10; i++) {
+            CallResult result = TestSite.join(site.book(0, "after-" + i));
+            answered += result.isAnswered() ? 1 : 0;
+            assertTrue(site.runs("after-" + i) <= 1);
+        }
+        assertTrue(answered >= 8, answered + " of 10 answered");
+    }
+
+    @Test
+    void callThatWouldBeLateIsRefusedAsNotRun() throws Exception {
+        CallResult result = TestSite.join(site.chat(1, "quick-clutch", "hurry", 4));
+        assertEquals("deadline", result.code());
+        assertEquals("not-run", result.verdict());
+    }
+
+    @Test
+    void loadedModelIsServedWhileThePlatformIsDown() throws Exception {
+        TestSite.join(site.chat(0, MODEL, "warm up", 1));
+        site.site.platform().setDown(true);
+        CallResult result = TestSite.join(site.chat(0, MODEL, "during the outage", 8));
+        assertTrue(result.isAnswered(), result.describe());
+        site.site.platform().setDown(false);
+    }
+
+    private EngineServer busyEngine() throws InterruptedException {
+        TestSite.await(
+                () -> site.site.engines().stream().anyMatch(e -> e.engine().inFlight() > 0));
+        return site.site.engines().stream()
+                .filter(e -> e.engine().inFlight() > 0)
+                .findFirst()
+                .orElseThrow();
+    }
+}
--- a/tarragonring-core/src/main/java/org/tarragonring/admission/RetryBudget.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/admission/RetryBudget.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Bounds retries to a share of the accepted calls, so that retries cannot multiply load.
+ * Bounds retries to a tenth of the accepted calls and a small reserve, so that retries cannot multiply load.
  *
  * @since 0.1.0
  */
@@ -12,7 +12,7 @@
     private static final long TENTHS_PER_RETRY = 10;
     private static final long MAX_TENTHS = 100;
 
-    private final AtomicLong tenths = new AtomicLong();
+    private final AtomicLong tenths = new AtomicLong(MAX_TENTHS);
 
     /** Counts an accepted call, which earns a tenth of a retry. */
     public void accepted() {
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
@@ -30,6 +30,7 @@
 final class ModelCall {
 
     private static final int MAX_ATTEMPTS = 4;
+    private static final long EXCLUSION_MILLIS = 2_000;
 
     private final CallServices services;
     private final CallDetails details;
@@ -39,13 +40,16 @@
     private final HttpServerResponse response;
     private final Context context;
     private final CallEnd end;
-    private final Set<UpstreamId> excluded = new HashSet<>();
+    private final Set<UpstreamId> avoided = new HashSet<>();
+    private final Set<String> excluded = new HashSet<>();
     private Seat seat;
     private UpstreamAnswer answer;
     private EventRelay relay;
     private long deadlineTimer = -1;
     private int attempts;
     private long delivered;
+    private long dueMillis;
+    private long excludedUntilMillis;
 
     ModelCall(
             CallServices services,
@@ -63,6 +67,7 @@
         this.response = response;
         this.context = context;
         this.end = new CallEnd(services, details, response);
+        this.dueMillis = details.deadlineMillis();
     }
 
     void start() {
@@ -76,8 +81,8 @@
 
     private void attempt() {
         attempts++;
-        DispatchRequest request =
-                new DispatchRequest(details.priority(), details.deadlineMillis(), chat.prefixHash(), excluded);
+        DispatchRequest request = new DispatchRequest(
+                details.priority(), dueMillis, chat.prefixHash(), avoided, excluded, excludedUntilMillis);
         onContext(services.dispatchers().of(model.name()).acquire(model, request), this::onSeat, this::refuse);
     }
 
@@ -168,6 +173,10 @@
         }
         boolean lostModel = head.isNotLoaded() && adapter.isEmpty();
         releaseSeat(lostModel ? Seat.End.NOT_LOADED : Seat.End.FAILED);
+        if (lostModel && end.isOpen() && attempts < MAX_ATTEMPTS) {
+            attempt();
+            return;
+        }
         retryOrRefuse(CallException.notRun(
                 RefusalReason.UPSTREAM_UNAVAILABLE,
                 "the upstream refused the call with status %d".formatted(head.status())));
@@ -239,8 +248,10 @@
     }
 
     private void suspect() {
+        excluded.add(seat.target().name());
+        excludedUntilMillis = services.clock().millis() + EXCLUSION_MILLIS;
         String subject = services.quarantine()
-                .record(details.fingerprint(), seat.target().upstream());
+                .record(details.fingerprint(), seat.target().name());
         if (!subject.isEmpty()) {
             services.suspects().accept(subject);
         }
@@ -259,7 +270,10 @@
         }
     }
 
-    /** Runs a repeatable call on another upstream, a stream from the token after the last delivered one. */
+    /**
+     * Runs a repeatable call on another upstream, a stream from the token after the last delivered one. This takes
+     * nothing from the retry budget: a call is resumed at most once before its request is quarantined.
+     */
     private void resumeOrRefuse(CallException failure) {
         if (services.quarantine().isRefused(details.fingerprint())) {
             refuse(new CallException(
@@ -270,13 +284,15 @@
                             .formatted(services.quarantine().brokenUpstreams(details.fingerprint()))));
             return;
         }
-        boolean resumes = details.callClass().repeatable()
-                && attempts < MAX_ATTEMPTS
-                && services.retries().tryRetry();
+        boolean resumes = details.callClass().repeatable() && attempts < MAX_ATTEMPTS;
         if (!resumes) {
             refuse(failure);
             return;
         }
+        if (end.isStarted()) {
+            dueMillis =
+                    services.clock().millis() + details.callClass().deadline().toMillis();
+        }
         LogEvent.STREAM_RESUMED.logForCall(details.id().value(), "any other", delivered);
         attempt();
     }
@@ -317,8 +333,8 @@
 
     private void releaseSeat(Seat.End how) {
         if (seat != null) {
-            if (how == Seat.End.FAILED || how == Seat.End.NOT_LOADED) {
-                excluded.add(seat.target().upstream());
+            if (how == Seat.End.FAILED) {
+                avoided.add(seat.target().upstream());
             }
             seat.release(how);
             seat = null;
--- a/tarragonring-core/src/main/java/org/tarragonring/dispatch/ModelDispatcher.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/dispatch/ModelDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.tarragonring.admission.CallQueue;
 import org.tarragonring.admission.WaitEstimator;
@@ -30,10 +31,14 @@
  */
 public final class ModelDispatcher {
 
+    private static final long LOST_MEMORY_MILLIS = 5_000;
+
     private final ModelName name;
     private final DispatchContext context;
     private final ReentrantLock lock = new ReentrantLock();
     private final CallQueue<Pending> queue;
+    private final Map<String, Long> lost = new HashMap<>();
+    private final List<Pending> resuming = new ArrayList<>();
     private final WaitEstimator estimator = new WaitEstimator();
     private Target[] targets = {};
     private long placementVersion = -1;
@@ -108,6 +113,7 @@
             for (WaitingCall<Pending> expired : queue.expire(nowMillis)) {
                 refuse(expired.call(), RefusalReason.DEADLINE, Duration.ZERO, "waited until the deadline", actions);
             }
+            expireResuming(nowMillis, actions);
             pump(actions);
             reportIfDue(nowMillis, actions);
         } finally {
@@ -128,7 +134,7 @@
             for (Target target : targets) {
                 names.add(target.name() + "@" + target.upstream());
             }
-            return new DispatcherState(name.value(), queue.size(), inFlight, names, placementVersion);
+            return new DispatcherState(name.value(), waiting(), inFlight, names, placementVersion);
         } finally {
             lock.unlock();
         }
@@ -142,7 +148,7 @@
     public boolean isIdle() {
         lock.lock();
         try {
-            return queue.size() == 0 && inFlight == 0;
+            return waiting() == 0 && inFlight == 0;
         } finally {
             lock.unlock();
         }
@@ -177,13 +183,9 @@
         if (queue.size() == 0 && trySeat(pending, actions)) {
             return;
         }
-        if (isOutOfTargets(pending)) {
-            refuse(
-                    pending,
-                    RefusalReason.UPSTREAM_UNAVAILABLE,
-                    Duration.ZERO,
-                    "every replica of model \"%s\" was tried".formatted(name),
-                    actions);
+        if (!pending.request.excluded().isEmpty()) {
+            resuming.add(pending);
+            report(context.clock().millis(), actions);
             return;
         }
         long nowMillis = context.clock().millis();
@@ -211,13 +213,15 @@
     }
 
     private boolean trySeat(Pending pending, List<Runnable> actions) {
-        Target target = context.picker()
-                .pick(
-                        targets,
-                        pending.request.prefixHash(),
-                        callsPerReplica,
-                        candidate -> context.mayGetCall().test(candidate.upstream())
-                                && !pending.request.excluded().contains(candidate.upstream()));
+        DispatchRequest request = pending.request;
+        boolean excludes = context.clock().millis() < request.excludedUntilMillis();
+        Predicate<Target> allowed =
+                candidate -> !excludes || !request.excluded().contains(candidate.name());
+        Target target =
+                pick(request, allowed.and(candidate -> !request.avoided().contains(candidate.upstream())));
+        if (target == null && !request.avoided().isEmpty()) {
+            target = pick(request, allowed);
+        }
         if (target == null) {
             return false;
         }
@@ -232,33 +236,43 @@
         return true;
     }
 
+    private Target pick(DispatchRequest request, Predicate<Target> allowed) {
+        return context.picker()
+                .pick(
+                        targets,
+                        request.prefixHash(),
+                        callsPerReplica,
+                        candidate -> context.mayGetCall().test(candidate.upstream()) && allowed.test(candidate));
+    }
+
     private void pump(List<Runnable> actions) {
+        resuming.removeIf(pending -> pending.future.isDone() || trySeat(pending, actions));
         for (WaitingCall<Pending> next = queue.peek(); next != null; next = queue.peek()) {
             Pending pending = next.call();
-            if (isOutOfTargets(pending)) {
+            if (!pending.future.isDone() && !trySeat(pending, actions)) {
+                return;
+            }
+            queue.poll();
+        }
+    }
+
+    /** Refuses resumed calls for which no other replica came up in time. */
+    private void expireResuming(long nowMillis, List<Runnable> actions) {
+        for (Pending pending : List.copyOf(resuming)) {
+            if (nowMillis >= pending.request.deadlineMillis()) {
+                resuming.remove(pending);
                 refuse(
                         pending,
                         RefusalReason.UPSTREAM_UNAVAILABLE,
                         Duration.ZERO,
-                        "every replica of model \"%s\" was tried".formatted(name),
+                        "no other replica of model \"%s\" came up".formatted(name),
                         actions);
-            } else if (!pending.future.isDone() && !trySeat(pending, actions)) {
-                return;
             }
-            queue.poll();
         }
     }
 
-    private boolean isOutOfTargets(Pending pending) {
-        if (targets.length == 0) {
-            return false;
-        }
-        for (Target target : targets) {
-            if (!pending.request.excluded().contains(target.upstream())) {
-                return false;
-            }
-        }
-        return true;
+    private int waiting() {
+        return queue.size() + resuming.size();
     }
 
     private long estimatedWaitMillis(int priority, long nowMillis) {
@@ -279,7 +293,11 @@
         long nowMillis = context.clock().millis();
         boolean wasKnown = readyKnown;
         readyKnown = false;
+        lost.values().removeIf(untilMillis -> nowMillis >= untilMillis);
         for (PeerMessage.Replica replica : replicas) {
+            if (replica.loaded() && lost.containsKey(replica.slot().value())) {
+                continue;
+            }
             if (replica.loaded()) {
                 next.add(Optional.ofNullable(known.get(replica.slot().value())).orElseGet(() -> target(replica)));
             } else {
@@ -297,16 +315,21 @@
         return new Target(replica.slot().value(), replica.upstream(), replica.address(), domain);
     }
 
+    /** Drops a replica that its engine does not hold any more, also while the home still believes that it does. */
     private void drop(Target target) {
+        lost.put(target.name(), context.clock().millis() + LOST_MEMORY_MILLIS);
         List<Target> next = new ArrayList<>(List.of(targets));
         next.remove(target);
         targets = next.toArray(new Target[0]);
     }
 
     private void refuseAll(PeerMessage.Placement placement, List<Runnable> actions) {
-        for (WaitingCall<Pending> waiting : queue.drain()) {
+        List<Pending> refused = new ArrayList<>(resuming);
+        resuming.clear();
+        queue.drain().forEach(waiting -> refused.add(waiting.call()));
+        for (Pending pending : refused) {
             refuse(
-                    waiting.call(),
+                    pending,
                     RefusalReason.NO_CAPACITY,
                     placement.retryAfter(),
                     "model \"%s\" was not loaded: %s".formatted(name, placement.refusal()),
@@ -338,8 +361,8 @@
     }
 
     private void reportIfDue(long nowMillis, List<Runnable> actions) {
-        boolean busy = queue.size() > 0 || inFlight > 0 || arrivals > 0;
-        long periodMillis = queue.size() > 0
+        boolean busy = waiting() > 0 || inFlight > 0 || arrivals > 0;
+        long periodMillis = waiting() > 0
                 ? context.limits().queuedReportMillis()
                 : context.limits().busyReportMillis();
         boolean due = busy && nowMillis - lastReportMillis >= periodMillis;
@@ -349,8 +372,8 @@
     }
 
     private void report(long nowMillis, List<Runnable> actions) {
-        PeerMessage.Demand demand = new PeerMessage.Demand(name, queue.size(), inFlight, arrivals);
-        reportedBusy = queue.size() > 0 || inFlight > 0;
+        PeerMessage.Demand demand = new PeerMessage.Demand(name, waiting(), inFlight, arrivals);
+        reportedBusy = waiting() > 0 || inFlight > 0;
         arrivals = 0;
         lastReportMillis = nowMillis;
         actions.add(() -> context.demand().accept(demand));
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
@@ -74,6 +75,7 @@
     private final Timers timers;
     private final PeerLink link;
     private final UpstreamDirectory directory;
+    private final Executor background;
     private final Random random;
     private final Invariants invariants;
     private final Consumer<PeerMessage.Placement> placements;
@@ -103,6 +105,7 @@
      * @param timers runs periodic work, not null
      * @param link sends datagrams, not null
      * @param directory the upstreams, not null
+     * @param background runs what takes long for an event loop, not null
      * @param random draws members and delays, not null
      * @param invariants checks what must hold, not null
      * @param placements takes what homes tell this entry, not null
@@ -115,6 +118,7 @@
             Timers timers,
             PeerLink link,
             UpstreamDirectory directory,
+            Executor background,
             Random random,
             Invariants invariants,
             Consumer<PeerMessage.Placement> placements,
@@ -125,6 +129,7 @@
         this.timers = Objects.requireNonNull(timers, "timers");
         this.link = Objects.requireNonNull(link, "link");
         this.directory = Objects.requireNonNull(directory, "directory");
+        this.background = Objects.requireNonNull(background, "background");
         this.random = Objects.requireNonNull(random, "random");
         this.invariants = Objects.requireNonNull(invariants, "invariants");
         this.placements = Objects.requireNonNull(placements, "placements");
@@ -303,7 +308,7 @@
         homes = new HomeSelector(table::usable, settings.id());
         board = new NoticeBoard(clocks.monotonic(), notices);
         hub = new PeerHub(table, board, config::generation, link, timers);
-        detector = new FailureDetector(table, settings.membership(), timers, random, hub::send);
+        detector = new FailureDetector(table, settings.membership(), timers, clocks.monotonic(), random, hub::send);
         fetcher = new BlobFetcher(hub::send, timers);
         spread = new ConfigSpread(
                 config,
@@ -313,6 +318,7 @@
                 hub::others,
                 hub::send,
                 timers,
+                background,
                 random);
         buildPlacement();
     }
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
@@ -115,6 +115,7 @@
                 timers,
                 link,
                 directory,
+                action -> vertx.executeBlocking(() -> runInBackground(action), false),
                 random,
                 Invariants.logging(),
                 placement -> dispatchers().of(placement.model()).onPlacement(placement),
@@ -278,6 +279,11 @@
                 settings.callerLimits());
     }
 
+    private static Void runInBackground(Runnable action) {
+        action.run();
+        return null;
+    }
+
     private static void onNotice(Quarantine quarantine, Notice notice) {
         if (notice.kind() == Notice.Kind.SUSPECT_REQUEST) {
             quarantine.learn(notice.subject());
--- a/tarragonring-core/src/main/java/org/tarragonring/membership/FailureDetector.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/membership/FailureDetector.java
@@ -16,6 +16,7 @@
 import org.tarragonring.peer.Member;
 import org.tarragonring.peer.MemberState;
 import org.tarragonring.peer.PeerMessage;
+import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
 
 /**
@@ -30,6 +31,7 @@
     private final MemberTable table;
     private final MembershipTiming timing;
     private final Timers timers;
+    private final MonotonicClock clock;
     private final Random random;
     private final BiConsumer<HostPort, PeerMessage> sender;
     private final ReentrantLock lock = new ReentrantLock();
@@ -45,6 +47,7 @@
      * @param table the members, not null
      * @param timing the times, not null
      * @param timers runs the probes, not null
+     * @param clock tells when this entry itself was held up, not null
      * @param random shuffles the members, not null
      * @param sender sends a message to an address, not null
      */
@@ -52,11 +55,13 @@
             MemberTable table,
             MembershipTiming timing,
             Timers timers,
+            MonotonicClock clock,
             Random random,
             BiConsumer<HostPort, PeerMessage> sender) {
         this.table = Objects.requireNonNull(table, "table");
         this.timing = Objects.requireNonNull(timing, "timing");
         this.timers = Objects.requireNonNull(timers, "timers");
+        this.clock = Objects.requireNonNull(clock, "clock");
         this.random = Objects.requireNonNull(random, "random");
         this.sender = Objects.requireNonNull(sender, "sender");
     }
@@ -140,7 +145,8 @@
             lock.unlock();
         }
         sender.accept(target.peerAddress(), new PeerMessage.Probe(sequence));
-        timers.schedule(timing.probeTimeout(), () -> onDirectTimeout(sequence, target));
+        long sentNanos = clock.nanos();
+        timers.schedule(timing.probeTimeout(), () -> onDirectTimeout(sequence, target, sentNanos));
     }
 
     /** Returns the next member of a shuffled round, and now and then a dead one in case it can be reached again. */
@@ -173,7 +179,7 @@
         }
     }
 
-    private void onDirectTimeout(long sequence, Member target) {
+    private void onDirectTimeout(long sequence, Member target, long sentNanos) {
         if (!isAwaited(sequence)) {
             return;
         }
@@ -187,10 +193,10 @@
                 .forEach(helper -> sender.accept(
                         helper.peerAddress(),
                         new PeerMessage.IndirectProbe(sequence, target.id(), target.peerAddress())));
-        timers.schedule(timing.probeTimeout(), () -> onIndirectTimeout(sequence, target));
+        timers.schedule(timing.probeTimeout(), () -> onIndirectTimeout(sequence, target, sentNanos));
     }
 
-    private void onIndirectTimeout(long sequence, Member target) {
+    private void onIndirectTimeout(long sequence, Member target, long sentNanos) {
         lock.lock();
         try {
             if (awaited.remove(sequence) == null) {
@@ -200,7 +206,7 @@
             lock.unlock();
         }
         Member known = table.find(target.id()).orElse(target);
-        if (known.state() != MemberState.ALIVE) {
+        if (known.state() != MemberState.ALIVE || wasHeldUp(sentNanos)) {
             return;
         }
         if (table.apply(known.with(MemberState.SUSPECT, known.incarnation()))) {
@@ -209,6 +215,12 @@
         timers.schedule(timing.suspicion(), () -> onSuspicionEnd(known));
     }
 
+    /** Checks if this entry ran so late that answers may wait unread, in which case it accuses nobody. */
+    private boolean wasHeldUp(long sentNanos) {
+        long expectedNanos = timing.probeTimeout().multipliedBy(2).toNanos();
+        return clock.nanos() - sentNanos > expectedNanos + timing.probeTimeout().toNanos() / 2;
+    }
+
     private void onSuspicionEnd(Member suspect) {
         if (table.apply(suspect.with(MemberState.DEAD, suspect.incarnation()))) {
             LogEvent.MEMBER_DEAD.log(suspect.id());
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.ReentrantLock;
 
 import io.smallrye.mutiny.Uni;
@@ -16,6 +18,7 @@
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.peer.PeerMessage;
+import org.tarragonring.platform.StoreException;
 import org.tarragonring.upstream.CheckpointTier;
 
 /**
@@ -40,6 +43,7 @@
     private final long sinceMillis;
     private final ReentrantLock lock = new ReentrantLock();
     private final ModelDemand demand = new ModelDemand();
+    private final Set<UpstreamId> unreachable = ConcurrentHashMap.newKeySet();
     private final List<LoadAttempt> attempts = new ArrayList<>();
     private List<ReplicaView> recorded = List.of();
     private long recordVersion = -1;
@@ -275,15 +279,22 @@
         } finally {
             lock.unlock();
         }
-        List<Uni<Void>> checks = upstreams.stream()
-                .map(upstream ->
-                        context.reconciler().reconcileNow(upstream).onFailure().recoverWithNull())
-                .toList();
+        List<Uni<Void>> checks = upstreams.stream().map(this::verify).toList();
         if (!checks.isEmpty()) {
             Uni.join().all(checks).andCollectFailures().subscribe().with(done -> refreshNow(), failure -> refreshNow());
         }
     }
 
+    private Uni<Void> verify(UpstreamId upstream) {
+        return context.reconciler()
+                .reconcileNow(upstream)
+                .invoke(() -> unreachable.remove(upstream))
+                .onFailure(failure -> !(failure instanceof StoreException))
+                .invoke(failure -> unreachable.add(upstream))
+                .onFailure()
+                .recoverWithNull();
+    }
+
     private void refreshNow() {
         List<Runnable> actions = new ArrayList<>();
         lock.lock();
@@ -320,9 +331,11 @@
         lock.lock();
         try {
             refreshing = false;
-            changed = recordVersion < 0 || !loadedSlots(recorded).equals(loadedSlots(view.replicas()));
+            List<ReplicaView> fresh =
+                    view.replicas().stream().map(this::withReach).toList();
+            changed = recordVersion < 0 || !loadedSlots(recorded).equals(loadedSlots(fresh));
             recordVersion = Math.max(recordVersion, view.version());
-            recorded = view.replicas();
+            recorded = fresh;
             if (recorded.stream().anyMatch(ReplicaView::usable)) {
                 refusal = null;
             }
@@ -335,6 +348,15 @@
         }
     }
 
+    /** Marks a replica whose engine did not answer lately as unusable, so that another is loaded in its place. */
+    private ReplicaView withReach(ReplicaView view) {
+        if (!unreachable.contains(view.upstream())) {
+            return view;
+        }
+        return new ReplicaView(
+                view.slot(), view.upstream(), view.version(), view.loaded(), false, view.readyAtMillis());
+    }
+
     private static Map<SlotId, Boolean> loadedSlots(List<ReplicaView> views) {
         Map<SlotId, Boolean> slots = new HashMap<>();
         views.forEach(view -> slots.put(view.slot(), view.loaded() && view.usable()));
--- a/tarragonring-core/src/main/java/org/tarragonring/routing/Quarantine.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/routing/Quarantine.java
@@ -9,12 +9,12 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.time.MonotonicClock;
 
 /**
- * Remembers which requests were in flight on upstreams that died, and refuses those that broke two.
+ * Remembers which requests were in flight on replicas that died, and refuses those that broke two. A replica on an
+ * engine that was restarted is another one.
  *
  * <p>A request is known by its fingerprint, the hash of its route and body. Entries tell each other.
  *
@@ -44,14 +44,14 @@
     }
 
     /**
-     * Returns how many upstreams a request broke.
+     * Returns how many replicas a request broke.
      *
      * @param fingerprint the request's fingerprint, not null
      * @return 0 or more
      */
     public int brokenUpstreams(String fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
-        return suspect == null || clock.millis() >= suspect.untilMillis ? 0 : suspect.upstreams.size();
+        return suspect == null || clock.millis() >= suspect.untilMillis ? 0 : suspect.replicas.size();
     }
 
     /**
@@ -65,14 +65,14 @@
     }
 
     /**
-     * Remembers that an upstream died while it ran a request.
+     * Remembers that a replica broke off while it ran a request.
      *
      * @param fingerprint the request's fingerprint, not null
-     * @param upstream the upstream, not null
+     * @param replica the replica's name, not null
      * @return the subject to tell other entries, or empty text if this was known
      */
-    public String record(String fingerprint, UpstreamId upstream) {
-        return add(fingerprint, upstream) ? fingerprint + SEPARATOR + upstream : "";
+    public String record(String fingerprint, String replica) {
+        return add(fingerprint, replica) ? fingerprint + SEPARATOR + replica : "";
     }
 
     /**
@@ -83,20 +83,20 @@
      */
     public boolean learn(String subject) {
         String[] parts = subject.split(SEPARATOR, 2);
-        return parts.length == 2 && add(parts[0], new UpstreamId(parts[1]));
+        return parts.length == 2 && add(parts[0], parts[1]);
     }
 
-    private boolean add(String fingerprint, UpstreamId upstream) {
+    private boolean add(String fingerprint, String replica) {
         prune();
         long untilMillis = clock.millis() + memory.toMillis();
         boolean[] news = {false};
         Suspect now = suspects.compute(fingerprint, (key, old) -> {
-            Set<UpstreamId> upstreams = old == null ? new HashSet<>() : new HashSet<>(old.upstreams);
-            news[0] = upstreams.add(upstream);
-            return new Suspect(upstreams, untilMillis);
+            Set<String> replicas = old == null ? new HashSet<>() : new HashSet<>(old.replicas);
+            news[0] = replicas.add(replica);
+            return new Suspect(replicas, untilMillis);
         });
-        if (news[0] && now.upstreams.size() == UPSTREAMS_BEFORE_REFUSAL) {
-            LogEvent.REQUEST_QUARANTINED.log(fingerprint, now.upstreams.size());
+        if (news[0] && now.replicas.size() == UPSTREAMS_BEFORE_REFUSAL) {
+            LogEvent.REQUEST_QUARANTINED.log(fingerprint, now.replicas.size());
         }
         return news[0];
     }
@@ -113,5 +113,5 @@
         }
     }
 
-    private record Suspect(Set<UpstreamId> upstreams, long untilMillis) {}
+    private record Suspect(Set<String> replicas, long untilMillis) {}
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSpread.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSpread.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
@@ -50,6 +51,7 @@
     private final Supplier<List<HostPort>> others;
     private final BiConsumer<HostPort, PeerMessage> sender;
     private final Timers timers;
+    private final Executor background;
     private final Random random;
     private final AtomicBoolean fetching = new AtomicBoolean();
     private final AtomicLong highestSeen = new AtomicLong();
@@ -68,6 +70,7 @@
      * @param others gives the addresses of other usable entries, not null
      * @param sender sends a message to an entry, not null
      * @param timers runs retries, not null
+     * @param background checks and adopts configurations, which takes long for an event loop; not null
      * @param random draws entries and delays, not null
      */
     public ConfigSpread(
@@ -78,6 +81,7 @@
             Supplier<List<HostPort>> others,
             BiConsumer<HostPort, PeerMessage> sender,
             Timers timers,
+            Executor background,
             Random random) {
         this.holder = Objects.requireNonNull(holder, "holder");
         this.objects = Objects.requireNonNull(objects, "objects");
@@ -87,6 +91,7 @@
         this.others = Objects.requireNonNull(others, "others");
         this.sender = Objects.requireNonNull(sender, "sender");
         this.timers = Objects.requireNonNull(timers, "timers");
+        this.background = Objects.requireNonNull(background, "background");
         this.random = Objects.requireNonNull(random, "random");
     }
 
@@ -138,7 +143,9 @@
         Uni.createFrom()
                 .completionStage(() -> fetcher.fetch(from, BlobStore.MANIFEST))
                 .map(blob -> Json.read(blob, ConfigManifest.class))
-                .chain(manifest -> fetchChunks(from, manifest).invoke(chunks -> adopt(manifest, chunks, "an entry")))
+                .chain(manifest -> fetchChunks(from, manifest)
+                        .emitOn(background)
+                        .invoke(chunks -> adopt(manifest, chunks, "an entry")))
                 .onTermination()
                 .invoke(() -> fetching.set(false))
                 .subscribe()
@@ -185,6 +192,7 @@
                         return Uni.createFrom().voidItem();
                     }
                     return chunks(head.get())
+                            .emitOn(background)
                             .invoke(chunks -> adopt(head.get(), chunks, "the platform"))
                             .replaceWithVoid();
                 })
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
@@ -73,6 +73,7 @@
                 new UpstreamDirectory(
                         () -> exchange(() -> Uni.createFrom().item(() -> List.copyOf(fleet.listed.values()))),
                         address -> fleet.connect(this, address)),
+                Runnable::run,
                 random,
                 new Invariants(fleet.breaches::add),
                 placement -> placements.put(placement.model(), placement),
