--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/BenchCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/BenchCommand.java
@@ -14,7 +14,7 @@
         name = "bench",
         description = "Measures the system.",
         mixinStandardHelpOptions = true,
-        subcommands = {ControlBench.class, StateBench.class})
+        subcommands = {ColdStartBench.class, LoadBench.class, ControlBench.class, StateBench.class})
 public final class BenchCommand implements Callable<Integer> {
 
     @CommandLine.Spec
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ControlNode.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ControlNode.java
@@ -14,6 +14,7 @@
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.peer.DatagramCodec;
 import org.tarragonring.peer.UdpLink;
+import org.tarragonring.placement.IdlePolicy;
 import org.tarragonring.placement.Invariants;
 import org.tarragonring.platform.HttpInstanceList;
 import org.tarragonring.platform.HttpObjectStore;
@@ -57,6 +58,7 @@
                         },
                         false),
                 new Random(index),
+                IdlePolicy.never(),
                 Invariants.logging(),
                 placement -> {},
                 notice -> {});
--- /dev/null
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/LoadBench.java
@@ -0,0 +1,263 @@
+package org.tarragonring.cli.bench;
+
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntFunction;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.tarragonring.cli.client.CallClient;
+import org.tarragonring.cli.client.ChatCall;
+import org.tarragonring.cli.demo.LocalSite;
+import org.tarragonring.config.ConfigObject;
+import org.tarragonring.entry.Entry;
+import org.tarragonring.entry.SettingKey;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.SlotId;
+import org.tarragonring.standin.engine.EngineProfile;
+import org.tarragonring.standin.engine.EngineServer;
+import org.tarragonring.upstream.UpstreamHeaders;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Measures calls with open-loop arrivals: the latency that an entry adds, streamed tokens and group commits. */
+@Command(
+        name = "load",
+        description = "Measures the latency that an entry adds, streamed tokens and group commits.",
+        mixinStandardHelpOptions = true)
+final class LoadBench implements Callable<Integer> {
+
+    private static final int ENTRIES = 8;
+    private static final int ENGINES = 4;
+    private static final String MODEL = "model-0";
+    private static final int STREAM_TOKENS = 100;
+    private static final double MICROS_PER_MILLI = 1000;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    @Option(names = "--rate", description = "calls a second", defaultValue = "2000")
+    private int rate;
+
+    @Option(names = "--seconds", description = "how long each part takes", defaultValue = "10")
+    private int seconds;
+
+    @Option(names = "--streams", description = "streams a second in the part with streams", defaultValue = "200")
+    private int streams;
+
+    @Option(names = "--bookings", description = "plain calls a second in the part with claims", defaultValue = "1000")
+    private int bookings;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpClient http =
+            vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(2000));
+    private final CallClient caller = new CallClient(vertx);
+
+    @Override
+    public Integer call() throws Exception {
+        EngineProfile profile = new EngineProfile(
+                40L << 30,
+                true,
+                Duration.ofMillis(10),
+                Duration.ofMillis(10),
+                Duration.ofMillis(10),
+                Duration.ofMillis(5),
+                Duration.ofMillis(1),
+                Duration.ZERO,
+                Duration.ofMillis(10));
+        LocalSite site = new LocalSite(
+                vertx, new LocalSite.Shape(ENTRIES, 4, ENGINES, 3, profile, Map.of(SettingKey.EVENT_LOOPS, "1")));
+        site.start(objectFolder());
+        warmUp(site);
+        System.out.printf("rate=%d/s over %d entries, callers, entries and stand-ins in one process%n", rate, ENTRIES);
+        Histogram direct = run(rate, i -> direct(site));
+        Histogram through = run(rate, i -> through(site, i));
+        print("direct to the engine", direct);
+        print("through an entry", through);
+        System.out.printf(
+                "added by an entry: p50 %.2f ms, p99 %.2f ms%n",
+                (through.getValueAtPercentile(50) - direct.getValueAtPercentile(50)) / MICROS_PER_MILLI,
+                (through.getValueAtPercentile(99) - direct.getValueAtPercentile(99)) / MICROS_PER_MILLI);
+        printStreams(site);
+        printClaims(site);
+        site.stop();
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+        return 0;
+    }
+
+    private Path objectFolder() throws Exception {
+        Path folder = Files.createTempDirectory("tarragonring-bench");
+        StringBuilder ini = new StringBuilder();
+        for (ConfigObject object : SyntheticObjects.of(4, 0, 0).objects()) {
+            ini.append('[').append(object.section()).append("]\n");
+            object.keys()
+                    .forEach((key, value) ->
+                            ini.append(key).append(" = ").append(value).append('\n'));
+        }
+        Files.writeString(folder.resolve("objects.ini"), ini.toString());
+        return folder;
+    }
+
+    private void warmUp(LocalSite site) throws Exception {
+        run(rate / 4, i -> through(site, i));
+        run(rate / 4, i -> direct(site));
+    }
+
+    private Future<Boolean> direct(LocalSite site) {
+        for (EngineServer engine : site.engines()) {
+            List<SlotId> slots = engine.engine().slotsOf(new ModelName(MODEL));
+            if (!slots.isEmpty()) {
+                RequestOptions options = options(engine.address());
+                options.putHeader(UpstreamHeaders.SLOT, slots.get(0).value());
+                options.putHeader(UpstreamHeaders.CALL_ID, "direct");
+                return send(options);
+            }
+        }
+        return Future.succeededFuture(false);
+    }
+
+    private Future<Boolean> through(LocalSite site, int number) {
+        RequestOptions options = options(entry(site, number));
+        options.putHeader("Authorization", "Bearer " + SyntheticObjects.TEAM_KEY);
+        return send(options);
+    }
+
+    private Future<Boolean> send(RequestOptions options) {
+        Buffer body = new JsonObject()
+                .put("model", MODEL)
+                .put("max_tokens", 1)
+                .put(
+                        "messages",
+                        new JsonArray().add(new JsonObject().put("role", "user").put("content", "bench")))
+                .toBuffer();
+        return http.request(options)
+                .compose(request -> request.send(body))
+                .compose(response -> response.body().map(answer -> response.statusCode() == 200))
+                .otherwise(false);
+    }
+
+    private static RequestOptions options(HostPort address) {
+        return new RequestOptions()
+                .setHost(address.host())
+                .setPort(address.port())
+                .setMethod(HttpMethod.POST)
+                .setURI("/v1/chat/completions");
+    }
+
+    /** Starts calls at a fixed rate and records each from the moment at which it was due. */
+    private Histogram run(int perSecond, IntFunction<Future<Boolean>> call) throws Exception {
+        Histogram histogram = new ConcurrentHistogram(3);
+        AtomicInteger failed = new AtomicInteger();
+        List<Future<?>> pending = Collections.synchronizedList(new ArrayList<>());
+        long startNanos = System.nanoTime();
+        int total = perSecond * seconds;
+        for (int i = 0; i < total; i++) {
+            long dueNanos = startNanos + (long) (i * NANOS_PER_SECOND / perSecond);
+            while (System.nanoTime() < dueNanos) {
+                LockSupport.parkNanos(Math.min(100_000, dueNanos - System.nanoTime()));
+            }
+            pending.add(call.apply(i).onSuccess(ok -> {
+                histogram.recordValue(Math.max(0, (System.nanoTime() - dueNanos) / 1000));
+                if (!ok) {
+                    failed.incrementAndGet();
+                }
+            }));
+        }
+        Future.join(new ArrayList<>(pending))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+        if (failed.get() > 0) {
+            System.out.printf("%d of %d calls were not answered%n", failed.get(), total);
+        }
+        return histogram;
+    }
+
+    private void printStreams(LocalSite site) throws Exception {
+        long tokensBefore = tokens(site);
+        long processorBefore = processorNanos();
+        long startNanos = System.nanoTime();
+        run(
+                streams,
+                i -> caller.chat(
+                                new ChatCall(
+                                        entry(site, i), SyntheticObjects.TEAM_KEY, MODEL, "stream " + i, STREAM_TOKENS),
+                                token -> {})
+                        .map(result -> result.isAnswered()));
+        long tokens = tokens(site) - tokensBefore;
+        double processorSeconds = (processorNanos() - processorBefore) / NANOS_PER_SECOND;
+        System.out.printf(
+                "streams: %.0f tokens/s, %.0f tokens for each second of a core, callers and engines included%n",
+                tokens / ((System.nanoTime() - startNanos) / NANOS_PER_SECOND), tokens / processorSeconds);
+    }
+
+    private void printClaims(LocalSite site) throws Exception {
+        long before = site.entries().stream()
+                .mapToLong(e -> e.state().claimOperations())
+                .sum();
+        long writesBefore = site.platform().store().writes();
+        Histogram latency = run(
+                bookings,
+                i -> caller.service(
+                                entry(site, i),
+                                SyntheticObjects.TEAM_KEY,
+                                HttpMethod.POST,
+                                "/bookings",
+                                "bench-" + i,
+                                "x")
+                        .map(result -> result.isAnswered()));
+        long operations = site.entries().stream()
+                        .mapToLong(e -> e.state().claimOperations())
+                        .sum()
+                - before;
+        long writes = site.platform().store().writes() - writesBefore;
+        print("plain calls with claims", latency);
+        System.out.printf(
+                "claims: %d claims and answers in %d platform writes, %.1f to a write%n",
+                operations, writes, (double) operations / Math.max(1, writes));
+        long doubled = site.runs().values().stream().filter(n -> n.get() > 1).count();
+        System.out.printf("keys that ran twice: %d%n", doubled);
+    }
+
+    private static HostPort entry(LocalSite site, int number) {
+        List<Entry> entries = site.entries();
+        return entries.get(number % entries.size()).callerAddress();
+    }
+
+    private static long tokens(LocalSite site) {
+        return site.engines().stream().mapToLong(EngineServer::tokens).sum();
+    }
+
+    private static long processorNanos() {
+        return ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                .getProcessCpuTime();
+    }
+
+    private static void print(String what, Histogram histogram) {
+        System.out.printf(
+                "%-24s p50 %.2f ms, p95 %.2f ms, p99 %.2f ms, max %.2f ms%n",
+                what,
+                histogram.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                histogram.getValueAtPercentile(95) / MICROS_PER_MILLI,
+                histogram.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                histogram.getMaxValue() / MICROS_PER_MILLI);
+    }
+}
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/client/CallClient.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/client/CallClient.java
@@ -37,8 +37,16 @@
      * @param vertx runs the client, not null
      */
     public CallClient(Vertx vertx) {
-        this.client =
-                vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+        this(vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)));
+    }
+
+    /**
+     * Creates a client over an HTTP client.
+     *
+     * @param client the HTTP client, not null
+     */
+    public CallClient(HttpClient client) {
+        this.client = client;
     }
 
     /**
--- a/tarragonring-cli/src/test/java/org/tarragonring/cli/CallFailureTest.java
+++ b/tarragonring-cli/src/test/java/org/tarragonring/cli/CallFailureTest.java
@@ -175,6 +175,43 @@
         assertEquals("not-run", result.verdict());
     }
 
+    @Test
+    void callerThatLeavesCancelsItsCallUpstream() throws Exception {
+        TestSite.join(site.chat(0, MODEL, "warm up", 1));
+        io.vertx.core.http.HttpClient leaving = site.vertx.createHttpClient();
+        new org.tarragonring.cli.client.CallClient(leaving)
+                .chat(
+                        new org.tarragonring.cli.client.ChatCall(site.entry(0), TestSite.KEY, MODEL, "leave", 100_000),
+                        token -> {});
+        TestSite.await(() -> busyCalls() > 0);
+        TestSite.join(leaving.close());
+        TestSite.await(() -> busyCalls() == 0);
+    }
+
+    @Test
+    void slowReaderGetsItsWholeStreamAndHoldsNobodyUp() throws Exception {
+        TestSite.join(site.chat(0, MODEL, "warm up", 1));
+        StringBuilder received = new StringBuilder();
+        io.vertx.core.net.NetSocket socket = TestSite.join(site.vertx
+                .createNetClient()
+                .connect(site.entry(0).port(), site.entry(0).host()));
+        socket.handler(data -> {
+            received.append(data);
+            socket.pause();
+            site.vertx.setTimer(1, id -> socket.resume());
+        });
+        String body = "{\"model\":\"quote-tote\",\"stream\":true,\"max_tokens\":600,"
+                + "\"messages\":[{\"role\":\"user\",\"content\":\"slow\"}]}";
+        socket.write("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + TestSite.KEY
+                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        CallResult quick = TestSite.join(site.chat(0, MODEL, "quick", 5));
+        assertTrue(quick.isAnswered(), quick.describe());
+        TestSite.await(() -> received.indexOf("[DONE]") >= 0);
+        for (int i = 1; i <= 600; i++) {
+            assertTrue(received.indexOf(EngineServer.token("slow", i)) >= 0, "token " + i);
+        }
+    }
+
     @Test
     void loadedModelIsServedWhileThePlatformIsDown() throws Exception {
         TestSite.join(site.chat(0, MODEL, "warm up", 1));
@@ -184,6 +221,10 @@
         site.site.platform().setDown(false);
     }
 
+    private int busyCalls() {
+        return site.site.engines().stream().mapToInt(e -> e.engine().inFlight()).sum();
+    }
+
     private EngineServer busyEngine() throws InterruptedException {
         TestSite.await(
                 () -> site.site.engines().stream().anyMatch(e -> e.engine().inFlight() > 0));
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/CallerHandler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/CallerHandler.java
@@ -46,16 +46,19 @@
 
     private final Vertx vertx;
     private final CallServices services;
+    private final ConnectionGuard guard;
 
     /**
      * Creates a handler.
      *
      * @param vertx runs the handler, not null
      * @param services what calls work with, not null
+     * @param guard bounds connections, not null
      */
-    public CallerHandler(Vertx vertx, CallServices services) {
+    public CallerHandler(Vertx vertx, CallServices services, ConnectionGuard guard) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.services = Objects.requireNonNull(services, "services");
+        this.guard = Objects.requireNonNull(guard, "guard");
     }
 
     /**
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -20,6 +20,7 @@
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.lease.EntryLease;
+import org.tarragonring.lease.LeaseJanitor;
 import org.tarragonring.lease.LeaseObserver;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.membership.FailureDetector;
@@ -31,8 +32,8 @@
 import org.tarragonring.peer.PeerLink;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.placement.HomeContext;
+import org.tarragonring.placement.IdlePolicy;
 import org.tarragonring.placement.Invariants;
-import org.tarragonring.placement.LearnedIdlePolicy;
 import org.tarragonring.placement.LoadPermits;
 import org.tarragonring.placement.LoadPlanner;
 import org.tarragonring.placement.LoadTimes;
@@ -65,6 +66,8 @@
     private static final Duration DIRECTORY_PERIOD = Duration.ofSeconds(1);
     private static final int ENTRIES_PER_DIRECTORY_TICK = 150;
     private static final Duration RECONCILE_PERIOD = Duration.ofSeconds(5);
+    private static final Duration JANITOR_PERIOD = Duration.ofMinutes(10);
+    private static final Duration LEASES_KEPT = Duration.ofHours(1);
     private static final Duration PERMIT_LIFETIME = Duration.ofSeconds(60);
     private static final Duration START_RETRY = Duration.ofSeconds(1);
     private static final long INCARNATIONS_PER_EPOCH = 1_000_000;
@@ -77,6 +80,7 @@
     private final UpstreamDirectory directory;
     private final Executor background;
     private final Random random;
+    private final IdlePolicy idlePolicy;
     private final Invariants invariants;
     private final Consumer<PeerMessage.Placement> placements;
     private final Consumer<Notice> notices;
@@ -107,6 +111,7 @@
      * @param directory the upstreams, not null
      * @param background runs what takes long for an event loop, not null
      * @param random draws members and delays, not null
+     * @param idlePolicy how long idle models stay loaded, not null
      * @param invariants checks what must hold, not null
      * @param placements takes what homes tell this entry, not null
      * @param notices takes notices of other entries, not null
@@ -120,6 +125,7 @@
             UpstreamDirectory directory,
             Executor background,
             Random random,
+            IdlePolicy idlePolicy,
             Invariants invariants,
             Consumer<PeerMessage.Placement> placements,
             Consumer<Notice> notices) {
@@ -131,6 +137,7 @@
         this.directory = Objects.requireNonNull(directory, "directory");
         this.background = Objects.requireNonNull(background, "background");
         this.random = Objects.requireNonNull(random, "random");
+        this.idlePolicy = Objects.requireNonNull(idlePolicy, "idlePolicy");
         this.invariants = Objects.requireNonNull(invariants, "invariants");
         this.placements = Objects.requireNonNull(placements, "placements");
         this.notices = Objects.requireNonNull(notices, "notices");
@@ -148,7 +155,8 @@
         running = true;
         LeaseRecord addresses = new LeaseRecord(
                 0, 0, callerAddress.toString(), peerAddress.toString(), settings.failureDomain(), false);
-        lease = new EntryLease(settings.id(), addresses, settings.lease(), records, clocks.monotonic(), timers);
+        lease = new EntryLease(
+                settings.id(), addresses, settings.lease(), records, clocks.wall(), clocks.monotonic(), timers);
         return takeLease()
                 .chain(this::readOthers)
                 .invoke(others -> {
@@ -347,7 +355,7 @@
                 active,
                 new LoadPlanner(loadTimes, settings.minResidence(), this::weightOf),
                 loadTimes,
-                new LearnedIdlePolicy(settings.idleKeep(), settings.idleSecondsPerLateSecond()),
+                idlePolicy,
                 directory,
                 config,
                 () -> new SlotId(token()),
@@ -362,6 +370,8 @@
         tasks.add(timers.repeat(TICK_PERIOD, this::tick));
         tasks.add(timers.repeat(DIRECTORY_PERIOD, this::refreshDirectoryIfDue));
         tasks.add(timers.repeat(RECONCILE_PERIOD, this::reconcileOwned));
+        LeaseJanitor janitor = new LeaseJanitor(objects, clocks.monotonic(), LEASES_KEPT);
+        tasks.add(timers.repeat(JANITOR_PERIOD, () -> cleanLeases(janitor)));
     }
 
     private void tick() {
@@ -378,6 +388,12 @@
         modelHomes.tick();
     }
 
+    private void cleanLeases(LeaseJanitor janitor) {
+        if (homes.isRelay(settings.failureDomain())) {
+            janitor.run().subscribe().with(done -> {}, failure -> {});
+        }
+    }
+
     private void onResident(ModelName model) {
         if (homes.isHome(model)) {
             modelHomes.lookAfter(model);
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.DeploymentOptions;
@@ -25,6 +26,7 @@
 import org.tarragonring.admission.TeamShares;
 import org.tarragonring.caller.CallMetrics;
 import org.tarragonring.caller.CallServices;
+import org.tarragonring.caller.ConnectionGuard;
 import org.tarragonring.claim.ClaimLedger;
 import org.tarragonring.dispatch.AdapterLoader;
 import org.tarragonring.dispatch.DispatchContext;
@@ -39,6 +41,7 @@
 import org.tarragonring.peer.Notice;
 import org.tarragonring.peer.UdpLink;
 import org.tarragonring.placement.Invariants;
+import org.tarragonring.placement.LearnedIdlePolicy;
 import org.tarragonring.placement.LoadPermits;
 import org.tarragonring.platform.HttpInstanceList;
 import org.tarragonring.platform.HttpObjectStore;
@@ -82,6 +85,7 @@
     private final ControlPlane control;
     private final Dispatchers dispatchers;
     private final CallServices services;
+    private final ConnectionGuard guard;
     private final List<HttpServer> servers = new ArrayList<>();
     private volatile boolean leaving;
     private volatile boolean cutOff;
@@ -117,6 +121,7 @@
                 directory,
                 action -> vertx.executeBlocking(() -> runInBackground(action), false),
                 random,
+                new LearnedIdlePolicy(settings.idleKeep(), settings.idleSecondsPerLateSecond()),
                 Invariants.logging(),
                 placement -> dispatchers().of(placement.model()).onPlacement(placement),
                 notice -> onNotice(quarantine, notice));
@@ -133,6 +138,12 @@
                         DispatchLimits.DEFAULT.queuedReportMillis(),
                         DispatchLimits.DEFAULT.busyReportMillis())));
         this.services = services(directory, ejections, quarantine);
+        this.guard = new ConnectionGuard(
+                settings.callerLimits().maxConnections(),
+                settings.callerLimits().requestTimeout(),
+                clocks.monotonic(),
+                timers);
+        registerGauges();
     }
 
     /**
@@ -148,6 +159,7 @@
                         .subscribe()
                         .with(
                                 done -> {
+                                    guard.start();
                                     dispatchTick = timers.repeat(DISPATCH_TICK, dispatchers::tick);
                                     LogEvent.ENTRY_STARTED.log(settings.id(), callerAddress, peer);
                                     started.complete(null);
@@ -187,6 +199,7 @@
      */
     public CompletableFuture<Void> kill() {
         control.stop();
+        guard.stop();
         dispatchTick.cancel();
         return closeAll();
     }
@@ -235,6 +248,18 @@
                 link.receivedBytes());
     }
 
+    private void registerGauges() {
+        Gauge.builder("tarragonring.config.generation", () -> control.config().generation())
+                .register(registry);
+        Gauge.builder("tarragonring.calls.in.flight", () -> services.shares().total())
+                .register(registry);
+        Gauge.builder("tarragonring.caller.connections", guard::connections).register(registry);
+        Gauge.builder("tarragonring.invariant.breaches", () -> control.state().invariantBreaches())
+                .register(registry);
+        Gauge.builder("tarragonring.lease.valid", () -> control.state().leaseValid() ? 1 : 0)
+                .register(registry);
+    }
+
     private Dispatchers dispatchers() {
         return dispatchers;
     }
@@ -295,9 +320,8 @@
     }
 
     private Future<Void> listen() {
-        HttpServerOptions options = new HttpServerOptions()
-                .setMaxHeaderSize(settings.callerLimits().maxHeaderBytes())
-                .setIdleTimeout((int) settings.callerLimits().requestTimeout().toSeconds() * 2);
+        HttpServerOptions options =
+                new HttpServerOptions().setMaxHeaderSize(settings.callerLimits().maxHeaderBytes());
         AdminHandler admin = new AdminHandler(vertx, this::isReady, registry, this::state);
         return listenForCallers(options, settings.callerAddress(), settings.eventLoops())
                 .compose(done -> vertx.createHttpServer()
@@ -317,7 +341,7 @@
         int port = address.port() == 0 ? sharedRandomPort() : address.port();
         List<CallerServer> callerServers = new ArrayList<>();
         for (int i = 0; i < eventLoops; i++) {
-            callerServers.add(new CallerServer(options, port, address.host(), services));
+            callerServers.add(new CallerServer(options, port, address.host(), services, guard));
         }
         Iterator<CallerServer> next = callerServers.iterator();
         return vertx.deployVerticle(next::next, new DeploymentOptions().setInstances(eventLoops))
--- a/tarragonring-core/src/main/java/org/tarragonring/lease/EntryLease.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/lease/EntryLease.java
@@ -1,5 +1,6 @@
 package org.tarragonring.lease;
 
+import java.time.InstantSource;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -26,6 +27,7 @@
     private final EntryId entry;
     private final LeaseTiming timing;
     private final RecordStore records;
+    private final InstantSource wallClock;
     private final MonotonicClock clock;
     private final Timers timers;
     private final String callerAddress;
@@ -46,6 +48,7 @@
      * @param addresses the record's unchanging part: addresses and failure domain, not null
      * @param timing the times, not null
      * @param records where the lease is kept, not null
+     * @param wallClock gives epochs that rise even if the record was deleted, not null
      * @param clock the monotonic clock, not null
      * @param timers runs the renewals, not null
      */
@@ -54,6 +57,7 @@
             LeaseRecord addresses,
             LeaseTiming timing,
             RecordStore records,
+            InstantSource wallClock,
             MonotonicClock clock,
             Timers timers) {
         this.entry = Objects.requireNonNull(entry, "entry");
@@ -62,6 +66,7 @@
         this.failureDomain = addresses.failureDomain();
         this.timing = Objects.requireNonNull(timing, "timing");
         this.records = Objects.requireNonNull(records, "records");
+        this.wallClock = Objects.requireNonNull(wallClock, "wallClock");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
     }
@@ -73,7 +78,7 @@
      */
     public Uni<Void> start() {
         long sentNanos = clock.nanos();
-        return records.update(RecordType.LEASE, entry.value(), old -> record(old.epoch() + 1, 0, false))
+        return records.update(RecordType.LEASE, entry.value(), old -> record(nextEpoch(old), 0, false))
                 .invoke(taken -> {
                     latest = taken;
                     epoch = taken.body().epoch();
@@ -139,6 +144,11 @@
         return timing;
     }
 
+    /** Returns an epoch above the record's, and above that of a record that was deleted since. */
+    private long nextEpoch(LeaseRecord old) {
+        return Math.max(old.epoch() + 1, wallClock.instant().getEpochSecond());
+    }
+
     private void renew() {
         if (!renewing.compareAndSet(false, true)) {
             return;
--- /dev/null
+++ b/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
@@ -0,0 +1,82 @@
+package org.tarragonring.peer;
+
+import java.time.Duration;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.SlotId;
+import org.tarragonring.ids.UpstreamId;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class DatagramCodecTest {
+
+    private static final HostPort ADDRESS = new HostPort("127.0.0.1", 7000);
+
+    private final DatagramCodec codec = new DatagramCodec("key");
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void messagesAreReadAsTheyWereWritten(PeerMessage message) {
+        Datagram datagram = datagram(message);
+        assertEquals(datagram, codec.decode(codec.encode(datagram)));
+    }
+
+    @Test
+    void anotherKeysDatagramIsRejected() {
+        byte[] bytes = new DatagramCodec("other").encode(datagram(new PeerMessage.Probe(1)));
+        assertThrows(IllegalArgumentException.class, () -> codec.decode(bytes));
+    }
+
+    @Test
+    void emptyKeyIsRejected() {
+        assertThrows(IllegalArgumentException.class, () -> new DatagramCodec(""));
+    }
+
+    @Test
+    void tooLongDatagramIsNotWritten() {
+        PeerMessage part = new PeerMessage.BlobPart("x", 0, 9000, new byte[9000]);
+        assertThrows(IllegalArgumentException.class, () -> codec.encode(datagram(part)));
+    }
+
+    @Property(tries = 500, seed = "9")
+    void anyBytesAreRejectedWithAReason(@ForAll @Size(max = 400) byte[] bytes) {
+        assertThrows(IllegalArgumentException.class, () -> codec.decode(bytes));
+    }
+
+    @Property(tries = 300, seed = "10")
+    void anyChangedByteIsNoticed(@ForAll int position, @ForAll byte change) {
+        byte[] bytes = codec.encode(datagram(new PeerMessage.Probe(77)));
+        int index = Math.floorMod(position, bytes.length);
+        bytes[index] ^= (byte) (change == 0 ? 1 : change);
+        assertThrows(IllegalArgumentException.class, () -> codec.decode(bytes));
+    }
+
+    static List<PeerMessage> messages() {
+        ModelName model = new ModelName("quote-tote");
+        PeerMessage.Replica replica = new PeerMessage.Replica(
+                new SlotId("slot"), new UpstreamId("engine"), ADDRESS, false, Duration.ofMillis(1500));
+        return List.of(
+                new PeerMessage.Probe(1),
+                new PeerMessage.ProbeAck(2),
+                new PeerMessage.IndirectProbe(3, new EntryId("b"), ADDRESS),
+                new PeerMessage.Demand(model, 4, 5, 6),
+                new PeerMessage.Placement(model, 7, List.of(replica), "no room", Duration.ofSeconds(5)),
+                new PeerMessage.BlobRequest("manifest", 1100));
+    }
+
+    private static Datagram datagram(PeerMessage message) {
+        Member member = new Member(new EntryId("a"), 3, MemberState.SUSPECT, ADDRESS, ADDRESS, "domain");
+        Notice notice = new Notice(Notice.Kind.SUSPECT_REQUEST, "abc@slot", 1, 5000);
+        return new Datagram(new EntryId("a"), ADDRESS, 12, message, List.of(member), List.of(notice));
+    }
+}
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
@@ -106,6 +106,15 @@
         return engine;
     }
 
+    /**
+     * Returns where the engine listens.
+     *
+     * @return the address, null before the start
+     */
+    public HostPort address() {
+        return address;
+    }
+
     /**
      * Slows every call down.
      *
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
@@ -157,6 +157,34 @@
         assertEquals(8, usable(cut));
     }
 
+    @Test
+    void oneWayCutsHealAndEveryoneAgrees() {
+        Fleet fleet = Fleet.started(42, 9, 1, true, 10);
+        fleet.entries.get(3).hearsNobody = true;
+        fleet.entries.get(4).isHeardByNobody = true;
+        fleet.publish(10, 2);
+        fleet.run(Duration.ofMinutes(2));
+        fleet.entries.get(3).hearsNobody = false;
+        fleet.entries.get(4).isHeardByNobody = false;
+        fleet.run(IN_FORCE_WITHIN);
+        assertAllAt(fleet, 2);
+        fleet.run(Duration.ofSeconds(60));
+        fleet.entries.forEach(entry -> assertEquals(9, usable(entry), entry.id));
+    }
+
+    @Test
+    void leasesOfReplacedEntriesAreDeletedInTime() {
+        Fleet fleet = Fleet.started(43, 4, 1, true, 2);
+        FleetEntry replaced = fleet.entries.get(1);
+        replaced.kill();
+        fleet.run(Duration.ofMinutes(90));
+        assertEquals(3, fleet.store.list("entries/").await().indefinitely().size());
+        replaced.start();
+        fleet.run(Duration.ofMinutes(1));
+        assertEquals(4, usable(fleet.entries.get(0)));
+        assertTrue(replaced.control().state().leaseValid());
+    }
+
     private static long usable(FleetEntry entry) {
         return entry.control().state().members().stream()
                 .filter(member -> member.isUsable())
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
@@ -18,6 +18,7 @@
 import org.tarragonring.peer.Datagram;
 import org.tarragonring.peer.DatagramCodec;
 import org.tarragonring.peer.PeerMessage;
+import org.tarragonring.placement.IdlePolicy;
 import org.tarragonring.placement.Invariants;
 import org.tarragonring.standin.engine.MemoryEngine;
 import org.tarragonring.standin.platform.FaultyObjectStore;
@@ -38,6 +39,8 @@
     final Map<ModelName, PeerMessage.Placement> placements = new HashMap<>();
     Duration orderDelay = Duration.ZERO;
     boolean cutOff;
+    boolean hearsNobody;
+    boolean isHeardByNobody;
 
     private final Fleet fleet;
     private final String domain;
@@ -75,6 +78,7 @@
                         address -> fleet.connect(this, address)),
                 Runnable::run,
                 random,
+                IdlePolicy.fixed(Duration.ofSeconds(20)),
                 new Invariants(fleet.breaches::add),
                 placement -> placements.put(placement.model(), placement),
                 notice -> {});
@@ -194,13 +198,13 @@
     }
 
     private void send(HostPort to, Datagram datagram) {
-        boolean isLost = cutOff || fleet.random.nextDouble() < fleet.lostDatagramShare;
+        boolean isLost = cutOff || isHeardByNobody || fleet.random.nextDouble() < fleet.lostDatagramShare;
         byte[] bytes = CODEC.encode(datagram);
         if (isLost) {
             return;
         }
         fleet.entries.stream()
-                .filter(e -> e.peerAddress.equals(to) && !e.cutOff)
+                .filter(e -> e.peerAddress.equals(to) && !e.cutOff && !e.hearsNobody)
                 .findFirst()
                 .ifPresent(e -> fleet.time.schedule(travel(), () -> e.receive(CODEC.decode(bytes))));
     }
