Wait without nesting, and give permits of failed loads back

Each poll while waiting for a permit was nested in the one before, so a wait of minutes grew the stack; permits of failed loads lapsed only after 60 s, which made such waits common. Ruled out: recursion in the homes; 1,024 frames were all of Uni operators. Change: Delays.until repeats a step from the timer; a load gives its permit back whether or not it succeeded. Conclusion: no waiting by nested Unis.

--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartLoad.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartLoad.java
@@ -29,6 +29,7 @@
     private static final Duration SAMPLE = Duration.ofSeconds(1);
     private static final long RETURNS_WITHIN_MILLIS = Duration.ofMinutes(10).toMillis();
     private static final int TOKENS = 40;
+    private static final int MAX_ATTEMPTS = 4;
 
     private final VirtualSite site;
     private final VirtualTime time;
@@ -98,18 +99,24 @@
 
     private void call(Model model, int entry, boolean returns) {
         result.calls++;
-        long arrivedMillis = time.millis();
-        long deadlineMillis = arrivedMillis + model.callClass().deadline().toMillis();
-        boolean wasCold = isCold(model);
+        attempt(new Call(model, entry, time.millis(), isCold(model), returns), 1);
+    }
+
+    private void attempt(Call call, int number) {
+        long deadlineMillis =
+                call.arrivedMillis + call.model.callClass().deadline().toMillis();
         DispatchRequest request =
-                new DispatchRequest(model.callClass().priority(), deadlineMillis, 0, Set.of(), Set.of(), 0);
-        site.dispatchers(entry).of(model.name()).acquire(model, request).whenComplete((seat, failure) -> {
-            if (failure != null) {
-                result.refused++;
-            } else {
-                serve(seat, arrivedMillis, wasCold, returns);
-            }
-        });
+                new DispatchRequest(call.model.callClass().priority(), deadlineMillis, 0, Set.of(), Set.of(), 0);
+        site.dispatchers(call.entry)
+                .of(call.model.name())
+                .acquire(call.model, request)
+                .whenComplete((seat, failure) -> {
+                    if (failure != null) {
+                        result.refused++;
+                    } else {
+                        serve(call, seat, number);
+                    }
+                });
     }
 
     private boolean isCold(Model model) {
@@ -123,20 +130,24 @@
                                 .loaded()));
     }
 
-    private void serve(Seat seat, long arrivedMillis, boolean wasCold, boolean returns) {
+    private void serve(Call call, Seat seat, int number) {
         MemoryEngine engine = site.engine(seat.target().upstream());
         SlotId slot = new SlotId(seat.target().name());
         if (!engine.beginCall(slot, null)) {
             seat.release(Seat.End.NOT_LOADED);
-            result.refused++;
+            if (number < MAX_ATTEMPTS) {
+                attempt(call, number + 1);
+            } else {
+                result.refused++;
+            }
             return;
         }
         long firstMillis = engine.profile().firstToken().toMillis();
-        long tookMillis = time.millis() - arrivedMillis + firstMillis;
-        if (wasCold) {
+        long tookMillis = time.millis() - call.arrivedMillis + firstMillis;
+        if (call.wasCold) {
             result.cold.recordValue(tookMillis);
         }
-        if (returns) {
+        if (call.returns) {
             result.returning.recordValue(tookMillis);
         }
         long wholeMillis =
@@ -164,4 +175,6 @@
     private static double exponential(Random random, double mean) {
         return -Math.log(1 - random.nextDouble()) * mean;
     }
+
+    private record Call(Model model, int entry, long arrivedMillis, boolean wasCold, boolean returns) {}
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
@@ -51,6 +52,7 @@
 import org.tarragonring.spread.ConfigSpread;
 import org.tarragonring.spread.NoticeBoard;
 import org.tarragonring.spread.PeerHub;
+import org.tarragonring.time.Delays;
 import org.tarragonring.time.Timers;
 import org.tarragonring.upstream.UpstreamDirectory;
 
@@ -288,17 +290,23 @@
     }
 
     private Uni<Void> takeLease() {
-        return lease.start().onFailure(failure -> running).recoverWithUni(failure -> {
-            LogEvent.ENTRY_WAITS.log(settings.id(), failure.getMessage());
-            return new org.tarragonring.time.Delays(timers).after(START_RETRY).chain(this::takeLease);
-        });
+        return new Delays(timers)
+                .until(
+                        START_RETRY,
+                        () -> lease.start()
+                                .replaceWith(Optional.of(true))
+                                .onFailure(failure -> running)
+                                .invoke(failure -> LogEvent.ENTRY_WAITS.log(settings.id(), failure.getMessage()))
+                                .onFailure(failure -> running)
+                                .recoverWithItem(Optional.empty()))
+                .replaceWithVoid();
     }
 
     private Uni<List<Member>> readOthers() {
         return objects.list("entries/")
                 .map(found -> found.stream()
                         .map(object -> LeaseMembers.read(object, INCARNATIONS_PER_EPOCH))
-                        .flatMap(java.util.Optional::stream)
+                        .flatMap(Optional::stream)
                         .filter(member -> !member.id().equals(settings.id()))
                         .toList())
                 .onFailure()
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.SlotId;
@@ -67,11 +69,10 @@
                         .chain(() -> retry.run(() -> takeSlot(request)))
                         .chain(() -> takePermit(request))
                         .chain(() -> armAndSend(request, engine, MAX_STALE_FENCES))
-                        .chain(() -> awaitLoaded(request, engine, null))
+                        .chain(() -> awaitLoaded(request, engine))
                         .chain(() -> retry.run(() -> confirm(request)))
-                        .call(() -> permits.release(request.slot().value())
-                                .onFailure()
-                                .recoverWithNull()))
+                        .onItemOrFailure()
+                        .call(() -> givePermitBack(request)))
                 .orElseGet(() -> Uni.createFrom().failure(engineFailure(request, "is not listed")));
     }
 
@@ -141,13 +142,19 @@
     }
 
     private Uni<Void> takePermit(LoadRequest request) {
-        return retry.run(() -> permits.acquire(request.slot().value(), 1)).chain(taken -> {
-            if (taken) {
-                return Uni.createFrom().voidItem();
-            }
-            requireLease(request);
-            return delays.after(PERMIT_RETRY_PERIOD).chain(() -> takePermit(request));
-        });
+        return delays.until(
+                        PERMIT_RETRY_PERIOD,
+                        () -> retry.run(() -> permits.acquire(request.slot().value(), 1))
+                                .map(taken -> {
+                                    requireLease(request);
+                                    return taken ? Optional.of(true) : Optional.<Boolean>empty();
+                                }))
+                .replaceWithVoid();
+    }
+
+    /** Gives the permit back whether or not the load succeeded; a lost one lapses by itself. */
+    private Uni<Void> givePermitBack(LoadRequest request) {
+        return permits.release(request.slot().value()).onFailure().recoverWithNull();
     }
 
     /**
@@ -199,22 +206,28 @@
         return Uni.createFrom().failure(engineFailure(request, "refused the load: " + outcome));
     }
 
-    private Uni<Void> awaitLoaded(LoadRequest request, Engine engine, String incarnation) {
-        return engine.status()
-                .map(status -> requirePresent(request, status, incarnation))
-                .onFailure(failure -> !(failure instanceof PlacementException))
-                .transform(failure -> engineFailure(request, "stopped answering during the load"))
-                .chain(status -> status.find(request.slot()).orElseThrow().loaded()
-                        ? Uni.createFrom().voidItem()
-                        : delays.after(POLL_PERIOD).chain(() -> awaitLoaded(request, engine, status.incarnation())));
+    private Uni<Void> awaitLoaded(LoadRequest request, Engine engine) {
+        AtomicReference<String> incarnation = new AtomicReference<>();
+        return delays.until(
+                        POLL_PERIOD,
+                        () -> engine.status()
+                                .onFailure()
+                                .transform(failure -> engineFailure(request, "stopped answering during the load"))
+                                .map(status -> {
+                                    requirePresent(request, status, incarnation.getAndSet(status.incarnation()));
+                                    boolean loaded = status.find(request.slot())
+                                            .orElseThrow()
+                                            .loaded();
+                                    return loaded ? Optional.of(true) : Optional.<Boolean>empty();
+                                }))
+                .replaceWithVoid();
     }
 
-    private EngineStatus requirePresent(LoadRequest request, EngineStatus status, String incarnation) {
+    private void requirePresent(LoadRequest request, EngineStatus status, String incarnation) {
         boolean restarted = incarnation != null && !incarnation.equals(status.incarnation());
         if (restarted || status.find(request.slot()).isEmpty()) {
             throw engineFailure(request, "lost the load");
         }
-        return status;
     }
 
     private Uni<Void> confirm(LoadRequest request) {
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Releaser.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Releaser.java
@@ -140,17 +140,19 @@
     }
 
     private Uni<Void> awaitAbsent(Target target, Unload unload) {
-        return target.engine.status().chain(status -> {
-            requireLease(target.slot());
-            if (status.find(target.slot()).isEmpty() && noLoadCanArrive(status, unload)) {
-                return Uni.createFrom().voidItem();
-            }
-            Uni<Void> next = delays.after(POLL_PERIOD);
-            if (status.find(target.slot()).isPresent()) {
-                next = next.chain(() -> startUnload(target)).chain(fence -> order(target, fence));
-            }
-            return next.chain(() -> awaitAbsent(target, unload));
-        });
+        return delays.until(
+                        POLL_PERIOD, () -> target.engine.status().chain(status -> checkAbsent(target, unload, status)))
+                .replaceWithVoid();
+    }
+
+    /** Orders the unload again while the engine shows the slot, as a late load order may bring it about. */
+    private Uni<Optional<Boolean>> checkAbsent(Target target, Unload unload, EngineStatus status) {
+        requireLease(target.slot());
+        if (status.find(target.slot()).isPresent()) {
+            return startUnload(target).chain(fence -> order(target, fence)).replaceWith(Optional.<Boolean>empty());
+        }
+        boolean done = noLoadCanArrive(status, unload);
+        return Uni.createFrom().item(done ? Optional.of(true) : Optional.<Boolean>empty());
     }
 
     private boolean noLoadCanArrive(EngineStatus status, Unload unload) {
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/StoreRetry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/StoreRetry.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import io.smallrye.mutiny.Uni;
@@ -28,9 +29,16 @@
 
     /** Runs a step until the store answers it or the lease ends; other failures end it at once. */
     <T> Uni<T> run(Supplier<Uni<T>> step) {
-        return Uni.createFrom()
-                .deferred(() -> step.get())
-                .onFailure(failure -> failure instanceof StoreException && lease.isValid())
-                .recoverWithUni(() -> delays.after(PERIOD).chain(() -> run(step)));
+        return delays.until(
+                        PERIOD,
+                        () -> Uni.createFrom()
+                                .deferred(() -> step.get())
+                                .map(item -> Optional.of(new Result<>(item)))
+                                .onFailure(failure -> failure instanceof StoreException && lease.isValid())
+                                .recoverWithItem(Optional.empty()))
+                .map(Result::item);
     }
+
+    /** A step's result, which may be null. */
+    private record Result<T>(T item) {}
 }
