Hear of leaving upstreams from themselves, and read the instance list within a budget

Change: after a transfer the next read waits a time in proportion to the bytes (1.5 KB/s); owners see in an engine's report that it is leaving and tell everyone by a notice; planners pass such engines over. Before: no way to learn of a leaving engine but the list. After: the new fleet test with a list that never shows it passes; 72 and 35 tests pass. Conclusion: the list is for finding instances, engines' own words for losing them.

--- a/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -54,6 +54,7 @@
 import org.tarragonring.spread.PeerHub;
 import org.tarragonring.time.Delays;
 import org.tarragonring.time.Timers;
+import org.tarragonring.upstream.DirectoryPoller;
 import org.tarragonring.upstream.UpstreamDirectory;
 
 /**
@@ -65,8 +66,7 @@
 public final class ControlPlane {
 
     private static final Duration TICK_PERIOD = Duration.ofMillis(500);
-    private static final Duration DIRECTORY_PERIOD = Duration.ofSeconds(1);
-    private static final int ENTRIES_PER_DIRECTORY_TICK = 150;
+    private static final Duration LEAVING_HOLDS = Duration.ofSeconds(10);
     private static final Duration RECONCILE_PERIOD = Duration.ofSeconds(5);
     private static final Duration JANITOR_PERIOD = Duration.ofMinutes(10);
     private static final Duration LEASES_KEPT = Duration.ofHours(1);
@@ -99,7 +99,7 @@
     private ConfigSpread spread;
     private Reconciler reconciler;
     private ModelHomes modelHomes;
-    private int directoryTicks;
+    private DirectoryPoller poller;
     private volatile boolean running;
 
     /**
@@ -186,6 +186,7 @@
         tasks.forEach(Timers.Task::cancel);
         if (detector != null) {
             detector.stop();
+            poller.stop();
             spread.stop();
         }
         if (lease != null) {
@@ -322,7 +323,7 @@
                 callerAddress,
                 settings.failureDomain()));
         homes = new HomeSelector(table::usable, settings.id());
-        board = new NoticeBoard(clocks.monotonic(), notices);
+        board = new NoticeBoard(clocks.monotonic(), this::onNotice);
         hub = new PeerHub(table, board, config::generation, link, timers);
         detector = new FailureDetector(table, settings.membership(), timers, clocks.monotonic(), random, hub::send);
         fetcher = new BlobFetcher(hub::send, timers);
@@ -351,7 +352,7 @@
                 timers);
         Set<SlotId> active = Reconciler.noActiveSlots();
         Releaser releaser = new Releaser(placement);
-        reconciler = new Reconciler(placement, releaser, active, this::onResident);
+        reconciler = new Reconciler(placement, releaser, active, this::onResident, this::onLeaving);
         LoadTimes loadTimes = new LoadTimes();
         LoadPermits permits = new LoadPermits(
                 records, clocks.wall(), settings.id(), "models", settings.parallelLoads(), PERMIT_LIFETIME);
@@ -374,9 +375,9 @@
         detector.start();
         spread.start();
         hub.others().forEach(detector::join);
-        refreshDirectory();
+        poller = new DirectoryPoller(directory, () -> table.usable().size(), clocks.monotonic(), timers);
+        poller.start();
         tasks.add(timers.repeat(TICK_PERIOD, this::tick));
-        tasks.add(timers.repeat(DIRECTORY_PERIOD, this::refreshDirectoryIfDue));
         tasks.add(timers.repeat(RECONCILE_PERIOD, this::reconcileOwned));
         LeaseJanitor janitor = new LeaseJanitor(objects, clocks.monotonic(), LEASES_KEPT);
         tasks.add(timers.repeat(JANITOR_PERIOD, () -> cleanLeases(janitor)));
@@ -396,6 +397,18 @@
         modelHomes.tick();
     }
 
+    private void onLeaving(UpstreamId upstream) {
+        directory.markLeaving(upstream);
+        board.post(Notice.Kind.LEAVING_UPSTREAM, upstream.value(), LEAVING_HOLDS.toMillis());
+    }
+
+    private void onNotice(Notice notice) {
+        if (notice.kind() == Notice.Kind.LEAVING_UPSTREAM) {
+            directory.markLeaving(new UpstreamId(notice.subject()));
+        }
+        notices.accept(notice);
+    }
+
     private void cleanLeases(LeaseJanitor janitor) {
         if (homes.isRelay(settings.failureDomain())) {
             janitor.run().subscribe().with(done -> {}, failure -> {});
@@ -408,19 +421,6 @@
         }
     }
 
-    /** Reads the instance list less often the more entries do, so that the platform's load stays bounded. */
-    private void refreshDirectoryIfDue() {
-        directoryTicks++;
-        int ticksPerRead = 1 + table.usable().size() / ENTRIES_PER_DIRECTORY_TICK;
-        if (directoryTicks % ticksPerRead == 0) {
-            refreshDirectory();
-        }
-    }
-
-    private void refreshDirectory() {
-        directory.refresh().subscribe().with(done -> {}, failure -> {});
-    }
-
     private void reconcileOwned() {
         if (!lease.isValid()) {
             return;
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/LoadPlanner.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/LoadPlanner.java
@@ -55,6 +55,7 @@
      */
     public List<LoadPlan> plans(Model model, Collection<Candidate> candidates, Set<String> usedDomains) {
         return candidates.stream()
+                .filter(candidate -> !candidate.status().leaving())
                 .map(candidate -> plan(model, candidate))
                 .flatMap(Optional::stream)
                 .sorted(Comparator.comparing((LoadPlan p) -> !p.evictions().isEmpty())
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
@@ -35,6 +35,7 @@
     private final Releaser releaser;
     private final Set<SlotId> active;
     private final Consumer<ModelName> residents;
+    private final Consumer<UpstreamId> leaving;
     private final SettledUpstreams settled;
     private final Set<UpstreamId> unfinished = ConcurrentHashMap.newKeySet();
 
@@ -46,12 +47,19 @@
      * @param active the slots that this entry is loading or freeing now; the reconciler leaves them alone and adds
      *     those it frees; a concurrent set, not null
      * @param residents is told of each model that is found loaded, not null
+     * @param leaving is told of each upstream that reports that it is leaving, not null
      */
-    public Reconciler(PlacementContext context, Releaser releaser, Set<SlotId> active, Consumer<ModelName> residents) {
+    public Reconciler(
+            PlacementContext context,
+            Releaser releaser,
+            Set<SlotId> active,
+            Consumer<ModelName> residents,
+            Consumer<UpstreamId> leaving) {
         this.context = Objects.requireNonNull(context, "context");
         this.releaser = Objects.requireNonNull(releaser, "releaser");
         this.active = Objects.requireNonNull(active, "active");
         this.residents = Objects.requireNonNull(residents, "residents");
+        this.leaving = Objects.requireNonNull(leaving, "leaving");
         this.settled = new SettledUpstreams(context.clock());
     }
 
@@ -117,6 +125,9 @@
                     : Uni.createFrom().voidItem();
         }
         return engine.get().status().chain(status -> {
+            if (status.leaving()) {
+                leaving.accept(upstream);
+            }
             if (trustsEarlier && settled.isStillSettled(upstream, status)) {
                 return Uni.createFrom().voidItem();
             }
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/HttpInstanceList.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/platform/HttpInstanceList.java
@@ -27,6 +27,7 @@
     private final WebClient client;
     private final HostPort address;
     private final Duration timeout;
+    private volatile int latestBytes;
     private volatile Listed latest = new Listed(null, List.of());
 
     /**
@@ -51,6 +52,11 @@
                 .map(this::take);
     }
 
+    @Override
+    public int latestBytes() {
+        return latestBytes;
+    }
+
     private HttpRequest<Buffer> request() {
         HttpRequest<Buffer> request =
                 client.get(address.port(), address.host(), "/instances").timeout(timeout.toMillis());
@@ -63,6 +69,7 @@
 
     private List<Instance> take(HttpResponse<Buffer> response) {
         if (response.statusCode() == NOT_MODIFIED) {
+            latestBytes = 0;
             return latest.instances;
         }
         if (response.statusCode() != OK) {
@@ -71,6 +78,7 @@
         try {
             List<Instance> instances =
                     Json.MAPPER.readValue(response.bodyAsBuffer().getBytes(), new TypeReference<List<Instance>>() {});
+            latestBytes = response.bodyAsBuffer().length();
             latest = new Listed(response.getHeader("ETag"), instances);
             return instances;
         } catch (IOException e) {
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/InstanceList.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/platform/InstanceList.java
@@ -18,4 +18,13 @@
      * @return the instances listed; fails with {@link StoreException}
      */
     Uni<List<Instance>> read();
+
+    /**
+     * Returns how many bytes the latest read transferred.
+     *
+     * @return bytes; 0 if the list had not changed, or where the size is not known
+     */
+    default int latestBytes() {
+        return 0;
+    }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
@@ -30,6 +31,7 @@
     private final Map<HostPort, Engine> engines = new ConcurrentHashMap<>();
     private final Map<UpstreamId, Integer> missedReads = new HashMap<>();
     private final Map<UpstreamId, Integer> lastListedReads = new ConcurrentHashMap<>();
+    private final Set<UpstreamId> markedLeaving = ConcurrentHashMap.newKeySet();
     private Collection<Instance> lastListed = List.of();
     private volatile int reads;
     private volatile Map<UpstreamId, Instance> instances = Map.of();
@@ -45,6 +47,24 @@
         this.connector = Objects.requireNonNull(connector, "connector");
     }
 
+    /**
+     * Notes that an upstream said itself that it is leaving, before the list shows it.
+     *
+     * @param upstream the upstream, not null
+     */
+    public void markLeaving(UpstreamId upstream) {
+        markedLeaving.add(upstream);
+    }
+
+    /**
+     * Returns how many bytes the latest read of the list transferred.
+     *
+     * @return bytes, 0 if the list had not changed
+     */
+    public int latestBytes() {
+        return list.latestBytes();
+    }
+
     /**
      * Reads the instance list again. An instance that is missing counts as leaving, and as gone only when it is
      * missing several times in a row.
@@ -106,7 +126,8 @@
      * @return true if it is listed and not leaving
      */
     public boolean mayGetWork(UpstreamId upstream) {
-        return instance(upstream).filter(i -> !i.leaving()).isPresent();
+        return !markedLeaving.contains(upstream)
+                && instance(upstream).filter(i -> !i.leaving()).isPresent();
     }
 
     private synchronized void take(Collection<Instance> listed) {
@@ -115,6 +136,7 @@
             return;
         }
         lastListed = listed;
+        markedLeaving.clear();
         Map<UpstreamId, Instance> next = new HashMap<>();
         for (Instance instance : listed) {
             next.put(instance.id(), instance);
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
@@ -168,6 +168,23 @@
         assertTrue(elsewhere);
     }
 
+    @Test
+    void upstreamThatSaysItIsLeavingGetsNoNewWorkThoughTheListLags() {
+        Fleet fleet = Fleet.started(25, 4, 2, true, 1);
+        keepAsking(fleet, Duration.ofSeconds(5));
+        UpstreamId leaving = fleet.engines.entrySet().stream()
+                .filter(e -> !e.getValue().slotsOf(MODEL).isEmpty())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+        fleet.engines.get(leaving).setLeaving(true);
+        keepAsking(fleet, Duration.ofSeconds(15));
+        boolean elsewhere = fleet.engines.entrySet().stream()
+                .anyMatch(e -> !e.getKey().equals(leaving)
+                        && !e.getValue().slotsOf(MODEL).isEmpty());
+        assertTrue(elsewhere);
+    }
+
     @Test
     void idleModelIsUnloadedAndLoadedAgain() {
         Fleet fleet = Fleet.started(23, 4, 2, true, 1);
