--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartBench.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartBench.java
@@ -32,7 +32,10 @@
     @Option(names = "--site", description = "strapwise or ergovale", defaultValue = "strapwise")
     private Site site;
 
-    @Option(names = "--policy", description = "own-demand, minute, never, learned or all", defaultValue = "all")
+    @Option(
+            names = "--policy",
+            description = "own-demand, minute, ten-minutes, never, learned or all",
+            defaultValue = "all")
     private String policy;
 
     @Option(names = "--seed", description = "the seed of the calls", defaultValue = "1")
@@ -54,6 +57,7 @@
         Map<String, IdlePolicy> policies = new LinkedHashMap<>();
         policies.put("own-demand", IdlePolicy.fixed(MINUTE));
         policies.put("minute", IdlePolicy.fixed(MINUTE));
+        policies.put("ten-minutes", IdlePolicy.fixed(INITIAL_KEEP));
         policies.put("never", IdlePolicy.never());
         policies.put("learned", new LearnedIdlePolicy(INITIAL_KEEP, trade));
         List<String> wanted = policy.equals("all") ? new ArrayList<>(policies.keySet()) : List.of(policy);
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartLoad.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartLoad.java
@@ -10,6 +10,7 @@
 import org.tarragonring.config.Model;
 import org.tarragonring.dispatch.DispatchRequest;
 import org.tarragonring.dispatch.Seat;
+import org.tarragonring.errors.CallException;
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.standin.VirtualTime;
 import org.tarragonring.standin.engine.MemoryEngine;
@@ -112,7 +113,7 @@
                 .acquire(call.model, request)
                 .whenComplete((seat, failure) -> {
                     if (failure != null) {
-                        result.refused++;
+                        result.refused(CallException.of(failure).reason().code());
                     } else {
                         serve(call, seat, number);
                     }
@@ -138,7 +139,7 @@
             if (number < MAX_ATTEMPTS) {
                 attempt(call, number + 1);
             } else {
-                result.refused++;
+                result.refused("not_loaded");
             }
             return;
         }
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartResult.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ColdStartResult.java
@@ -1,5 +1,8 @@
 package org.tarragonring.cli.bench;
 
+import java.util.Map;
+import java.util.TreeMap;
+
 import org.HdrHistogram.Histogram;
 
 /** What came of a virtual run. */
@@ -16,6 +19,12 @@
     int loads;
     int unloads;
     double idleByteSeconds;
+    final Map<String, Integer> refusals = new TreeMap<>();
+
+    void refused(String reason) {
+        refused++;
+        refusals.merge(reason, 1, Integer::sum);
+    }
 
     static String header() {
         return "%-11s %8s %8s %8s %8s %8s %8s %12s %12s %7s %8s %8s"
@@ -35,7 +44,7 @@
     }
 
     String line(String policy) {
-        return "%-11s %8d %8d %8d %8d %8d %8d %12d %12.1f %7d %8d %8d"
+        return "%-11s %8d %8d %8d %8d %8d %8d %12d %12.1f %7d %8d %8d %s"
                 .formatted(
                         policy,
                         calls,
@@ -48,6 +57,7 @@
                         idleByteSeconds / GIB / SECONDS_PER_HOUR,
                         loads,
                         unloads,
-                        refused);
+                        refused,
+                        refusals);
     }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/dispatch/ModelDispatcher.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/dispatch/ModelDispatcher.java
@@ -49,6 +49,7 @@
     private int arrivals;
     private long lastReportMillis = Long.MIN_VALUE / 2;
     private long lastLoadMillis;
+    private long loadSinceMillis;
     private boolean reportedBusy;
 
     ModelDispatcher(ModelName name, DispatchContext context) {
@@ -304,9 +305,14 @@
                 long readyMillis = nowMillis + replica.eta().toMillis();
                 readyAtMillis = readyKnown ? Math.min(readyAtMillis, readyMillis) : readyMillis;
                 readyKnown = true;
-                lastLoadMillis = wasKnown ? lastLoadMillis : replica.eta().toMillis();
             }
         }
+        if (readyKnown && !wasKnown) {
+            loadSinceMillis = nowMillis;
+        }
+        if (wasKnown && !next.isEmpty() && targets.length == 0) {
+            lastLoadMillis = nowMillis - loadSinceMillis;
+        }
         targets = next.toArray(new Target[0]);
     }
 
