Back off after failed loads

Ruled out: the verification of engines (18 in 30 s). Change: a backoff of its own, 0.5 s to 16 s, ended by a load that succeeds.

--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
@@ -34,6 +34,8 @@
 
     private static final Duration VERIFY_PERIOD = Duration.ofSeconds(1);
     private static final Duration REFRESH_PERIOD = Duration.ofSeconds(30);
+    private static final Duration LOAD_BACKOFF = Duration.ofMillis(500);
+    private static final int MAX_BACKOFF_DOUBLINGS = 5;
     private static final Duration MIN_ETA = Duration.ofMillis(200);
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofSeconds(5);
 
@@ -52,7 +54,8 @@
     private boolean refreshing;
     private SlotId releasing;
     private String refusal;
-    private long refusedAtMillis = Long.MIN_VALUE / 2;
+    private int failedLoads;
+    private long nextLoadMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates a home that knows nothing of the model's replicas yet.
@@ -173,7 +176,7 @@
             surplusSinceMillis = nowMillis;
         }
         Duration surplusFor = surplus ? Duration.ofMillis(nowMillis - surplusSinceMillis) : Duration.ZERO;
-        boolean mayLoad = refusal == null || nowMillis - refusedAtMillis >= VERIFY_PERIOD.toMillis();
+        boolean mayLoad = nowMillis >= nextLoadMillis;
         boolean busy = !attempts.isEmpty() || releasing != null;
         boolean idleTooLong = model.isPresent() && isIdleTooLong(model.get(), nowMillis);
         return new ReplicaDecision.Situation(calls, others, attempts.size(), mayLoad, busy, idleTooLong, surplusFor);
@@ -212,6 +215,7 @@
         lock.lock();
         try {
             refusal = null;
+            failedLoads = 0;
             attempts.remove(attempt);
             ReplicaView view = attempt.view;
             List<ReplicaView> next = new ArrayList<>(recorded);
@@ -234,8 +238,9 @@
                     failure instanceof PlacementException e && e.reason() == PlacementException.Reason.ENOUGH_REPLICAS;
             if (!enough) {
                 refusal = failure.getMessage();
-                refusedAtMillis = nowMillis();
             }
+            int doublings = Math.min(failedLoads++, MAX_BACKOFF_DOUBLINGS);
+            nextLoadMillis = nowMillis() + (LOAD_BACKOFF.toMillis() << doublings);
         } finally {
             lock.unlock();
         }
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/Fleet.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/Fleet.java
@@ -46,6 +46,7 @@
     final List<String> breaches = new ArrayList<>();
     final WeightStore weights = new WeightStore(time, time, 4);
     final Audit audit = new Audit(this);
+    long platformRequests;
     boolean platformDown;
     double lostAnswerShare;
     double lostDatagramShare;
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
@@ -184,6 +184,7 @@
     }
 
     private Fault nextFault() {
+        fleet.platformRequests++;
         countStep();
         if (!alive) {
             return new Fault(Fault.Kind.REFUSED, Duration.ZERO, Duration.ZERO);
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
@@ -20,6 +20,8 @@
 
     private static final ModelName MODEL = new ModelName("model-0");
     private static final int MAX_STEPS = 60;
+    private static final int PLATFORM_READS_PER_SECOND = 2_000;
+    private static final int TARGET_ENTRIES = 380;
 
     @Test
     void burstAtAllEntriesMakesOneLoad() {
@@ -185,6 +187,22 @@
         assertTrue(elsewhere);
     }
 
+    @Test
+    void wantingMoreReplicasThanThereIsRoomForDoesNotFloodThePlatform() {
+        Fleet fleet = Fleet.started(27, 4, 1, true, 1);
+        fleet.publish(1, 5);
+        fleet.run(Duration.ofSeconds(10));
+        long before = fleet.platformRequests;
+        for (int i = 0; i < 60; i++) {
+            fleet.entries.forEach(entry -> fleet.demand(entry, MODEL, 5));
+            fleet.run(Duration.ofMillis(500));
+        }
+        assertTrue(fleet.isLoaded(MODEL));
+        long allowed = PLATFORM_READS_PER_SECOND * 30 * fleet.entries.size() / TARGET_ENTRIES;
+        long requests = fleet.platformRequests - before;
+        assertTrue(requests <= allowed, requests + " requests, allowed are " + allowed);
+    }
+
     @Test
     void idleModelIsUnloadedAndLoadedAgain() {
         Fleet fleet = Fleet.started(23, 4, 2, true, 1);
