--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/StandInCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/StandInCommand.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.ext.web.client.WebClient;
@@ -103,7 +104,7 @@
                 .sendBuffer(Buffer.buffer(Json.write(instance))));
     }
 
-    private static <T> T join(io.vertx.core.Future<T> future) {
+    private static <T> T join(Future<T> future) {
         return future.toCompletionStage().toCompletableFuture().join();
     }
 
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ControlBench.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/ControlBench.java
@@ -81,9 +81,9 @@
                 platform.start(ANY).toCompletionStage().toCompletableFuture().join();
         publish(0);
         startEngines();
-        long heapBefore = heapKept();
+        long heapBefore = Heap.keptBytes();
         startNodes(address);
-        long heapPerEntry = (heapKept() - heapBefore) / entries;
+        long heapPerEntry = (Heap.keptBytes() - heapBefore) / entries;
         reportDemand();
         Thread.sleep(Duration.ofSeconds(WARM_UP_SECONDS).toMillis());
         print(measure(), heapPerEntry, timePublishes());
@@ -172,14 +172,6 @@
                 .generation();
     }
 
-    private static long heapKept() throws InterruptedException {
-        for (int i = 0; i < 3; i++) {
-            System.gc();
-            Thread.sleep(100);
-        }
-        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
-    }
-
     private void print(Sample sample, long heapPerEntry, List<Double> publishes) {
         double elapsed = sample.elapsedNanos / NANOS_PER_SECOND;
         double perEntry = elapsed * entries;
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/StateBench.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/StateBench.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import java.util.function.Supplier;
 
+import io.smallrye.mutiny.Uni;
 import org.tarragonring.config.ConfigChunks;
 import org.tarragonring.config.ConfigHolder;
 import org.tarragonring.config.ConfigManifest;
@@ -110,7 +111,7 @@
                     false));
         }
         UpstreamDirectory directory =
-                new UpstreamDirectory(() -> io.smallrye.mutiny.Uni.createFrom().item(instances), address -> null);
+                new UpstreamDirectory(() -> Uni.createFrom().item(instances), address -> null);
         directory.refresh().await().indefinitely();
         return directory;
     }
@@ -151,21 +152,13 @@
     }
 
     private <T> T keep(String what, Supplier<T> maker) throws InterruptedException {
-        long before = heapKept();
+        long before = Heap.keptBytes();
         T value = maker.get();
         kept.add(value);
-        System.out.printf("heap of %s: %.0f KiB%n", what, (heapKept() - before) / KIB);
+        System.out.printf("heap of %s: %.0f KiB%n", what, (Heap.keptBytes() - before) / KIB);
         return value;
     }
 
-    private static long heapKept() throws InterruptedException {
-        for (int i = 0; i < 3; i++) {
-            System.gc();
-            Thread.sleep(50);
-        }
-        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
-    }
-
     private static long processorNanos() {
         return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
     }
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/VirtualSite.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/bench/VirtualSite.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 
 import io.smallrye.mutiny.Uni;
@@ -88,7 +89,7 @@
             addEngine(i);
         }
         new ConfigRepository(store)
-                .publish(java.util.Optional.empty(), "bench", set.objects())
+                .publish(Optional.empty(), "bench", set.objects())
                 .await()
                 .indefinitely();
         for (int i = 0; i < ENTRIES; i++) {
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/demo/LocalSite.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/demo/LocalSite.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -108,7 +109,7 @@
     public void publish(ConfigSet set) {
         HttpObjectStore store = new HttpObjectStore(WebClient.create(vertx), platformAddress, PLATFORM_TIMEOUT);
         new Publisher(new ConfigRepository(store))
-                .publish(set, OptionalLong.empty(), java.util.UUID.randomUUID().toString())
+                .publish(set, OptionalLong.empty(), UUID.randomUUID().toString())
                 .await()
                 .indefinitely();
     }
--- a/tarragonring-cli/src/test/java/org/tarragonring/cli/CallFailureTest.java
+++ b/tarragonring-cli/src/test/java/org/tarragonring/cli/CallFailureTest.java
@@ -6,12 +6,16 @@
 import java.util.stream.IntStream;
 
 import io.vertx.core.Future;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.tarragonring.cli.client.CallClient;
 import org.tarragonring.cli.client.CallResult;
 import org.tarragonring.entry.SettingKey;
+import org.tarragonring.ids.ModelName;
 import org.tarragonring.standin.engine.EngineServer;
 import org.tarragonring.standin.service.ServiceServer;
 
@@ -46,7 +50,7 @@
             assertEquals(TestSite.whole("burst " + i, 6), result.text());
         }
         long residents = site.site.engines().stream()
-                .flatMap(e -> e.engine().slotsOf(new org.tarragonring.ids.ModelName(MODEL)).stream())
+                .flatMap(e -> e.engine().slotsOf(new ModelName(MODEL)).stream())
                 .count();
         assertTrue(residents <= 3);
     }
@@ -178,8 +182,8 @@
     @Test
     void callerThatLeavesCancelsItsCallUpstream() throws Exception {
         TestSite.join(site.chat(0, MODEL, "warm up", 1));
-        io.vertx.core.http.HttpClient leaving = site.vertx.createHttpClient();
-        new org.tarragonring.cli.client.CallClient(leaving)
+        HttpClient leaving = site.vertx.createHttpClient();
+        new CallClient(leaving)
                 .chat(
                         new org.tarragonring.cli.client.ChatCall(site.entry(0), TestSite.KEY, MODEL, "leave", 100_000),
                         token -> {});
@@ -192,7 +196,7 @@
     void slowReaderGetsItsWholeStreamAndHoldsNobodyUp() throws Exception {
         TestSite.join(site.chat(0, MODEL, "warm up", 1));
         StringBuilder received = new StringBuilder();
-        io.vertx.core.net.NetSocket socket = TestSite.join(site.vertx
+        NetSocket socket = TestSite.join(site.vertx
                 .createNetClient()
                 .connect(site.entry(0).port(), site.entry(0).host()));
         socket.handler(data -> {
--- a/tarragonring-cli/src/test/java/org/tarragonring/cli/TestSite.java
+++ b/tarragonring-cli/src/test/java/org/tarragonring/cli/TestSite.java
@@ -9,6 +9,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
 import org.tarragonring.cli.client.CallClient;
 import org.tarragonring.cli.client.CallResult;
 import org.tarragonring.cli.client.ChatCall;
@@ -50,8 +51,7 @@
     }
 
     Future<CallResult> book(int entry, String key) {
-        return client.service(
-                entry(entry), KEY, io.vertx.core.http.HttpMethod.POST, "/bookings", key, "booking " + key);
+        return client.service(entry(entry), KEY, HttpMethod.POST, "/bookings", key, "booking " + key);
     }
 
     int runs(String key) {
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/CallServices.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/CallServices.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -52,7 +53,7 @@
         UpstreamDirectory directory,
         Ejections ejections,
         Quarantine quarantine,
-        java.util.function.Consumer<String> suspects,
+        Consumer<String> suspects,
         RetryBudget retries,
         TeamShares shares,
         Function<ModelName, List<Member>> homes,
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/CallerHandler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/CallerHandler.java
@@ -1,5 +1,6 @@
 package org.tarragonring.caller;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
@@ -9,6 +10,7 @@
 import java.util.stream.Stream;
 
 import io.vertx.core.Context;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -28,6 +30,7 @@
 import org.tarragonring.config.Team;
 import org.tarragonring.errors.CallException;
 import org.tarragonring.errors.RefusalReason;
+import org.tarragonring.errors.Verdict;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.TeamName;
 import org.tarragonring.log.LogEvent;
@@ -79,7 +82,7 @@
         return router;
     }
 
-    private io.vertx.core.Handler<RoutingContext> guarded(Consumer<RoutingContext> handler) {
+    private Handler<RoutingContext> guarded(Consumer<RoutingContext> handler) {
         return routing -> {
             try {
                 handler.accept(routing);
@@ -199,8 +202,8 @@
         if (!services.shares().tryAcquire(details.team().name(), details.team().callShare(), grantedToAll)) {
             throw new CallException(
                     RefusalReason.TEAM_LIMIT,
-                    org.tarragonring.errors.Verdict.NOT_RUN,
-                    java.time.Duration.ofSeconds(1),
+                    Verdict.NOT_RUN,
+                    Duration.ofSeconds(1),
                     "team \"%s\" uses its whole share".formatted(details.team().name()));
         }
     }
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
@@ -348,10 +349,7 @@
         }
     }
 
-    private <T> void onContext(
-            CompletionStage<T> stage,
-            java.util.function.Consumer<T> success,
-            java.util.function.Consumer<CallException> failure) {
+    private <T> void onContext(CompletionStage<T> stage, Consumer<T> success, Consumer<CallException> failure) {
         stage.whenComplete((value, error) -> context.runOnContext(ignored -> {
             if (error == null) {
                 success.accept(value);
--- a/tarragonring-core/src/main/java/org/tarragonring/config/ConfigChecker.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/config/ConfigChecker.java
@@ -11,9 +11,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.TeamName;
@@ -93,7 +95,7 @@
         return new ConfigSet(objects, classes.values(), teams, models, adapters, services);
     }
 
-    private java.util.stream.Stream<SourcedObject> ofKind(ObjectKind kind) {
+    private Stream<SourcedObject> ofKind(ObjectKind kind) {
         return sources.stream().filter(s -> s.object().kind() == kind);
     }
 
@@ -116,7 +118,7 @@
                         "is not a key of a %s".formatted(object.kind().text()));
             }
         }
-        for (String key : new java.util.TreeSet<>(object.kind().required())) {
+        for (String key : new TreeSet<>(object.kind().required())) {
             if (object.keys().getOrDefault(key, "").isBlank()) {
                 report(source, key, "is missing");
             }
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
@@ -32,6 +32,7 @@
 import org.tarragonring.dispatch.DispatchContext;
 import org.tarragonring.dispatch.DispatchLimits;
 import org.tarragonring.dispatch.Dispatchers;
+import org.tarragonring.dispatch.ModelDispatcher;
 import org.tarragonring.ids.CallId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.UpstreamId;
@@ -397,7 +398,7 @@
             ControlState control,
             boolean leaving,
             int callsInFlight,
-            List<org.tarragonring.dispatch.ModelDispatcher.DispatcherState> dispatchers,
+            List<ModelDispatcher.DispatcherState> dispatchers,
             long claimOperations,
             long claimWrites,
             long peerBytesSent,
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
@@ -89,7 +89,7 @@
         if (old.find(request.slot()).isPresent()) {
             return old;
         }
-        requireLease(request);
+        context.requireLease(request.slot());
         requireNoUnknownResidents(old, request, status);
         UpstreamRecord sized = old.withAcceleratorBytes(status.acceleratorBytes());
         if (sized.freeBytes() < request.bytes()) {
@@ -146,7 +146,7 @@
                         PERMIT_RETRY_PERIOD,
                         () -> retry.run(() -> permits.acquire(request.slot().value(), 1))
                                 .map(taken -> {
-                                    requireLease(request);
+                                    context.requireLease(request.slot());
                                     return taken ? Optional.of(true) : Optional.<Boolean>empty();
                                 }))
                 .replaceWithVoid();
@@ -175,7 +175,7 @@
     }
 
     private UpstreamRecord armed(UpstreamRecord old, LoadRequest request) {
-        requireLease(request);
+        context.requireLease(request.slot());
         Reservation mine = requireHeld(old, request);
         if (mine.state() != ReservationState.RESERVED && mine.state() != ReservationState.LOADING) {
             throw lost(request);
@@ -186,7 +186,7 @@
     }
 
     private Uni<Void> send(LoadRequest request, Engine engine, long fence, int attemptsLeft) {
-        requireLease(request);
+        context.requireLease(request.slot());
         EngineOrder order = new EngineOrder(
                 EngineOrder.Kind.LOAD, request.slot(), request.model(), request.version(), request.bytes(), fence);
         LogEvent.LOAD_ORDERED.log(request.model(), request.upstream(), request.slot(), fence);
@@ -260,15 +260,6 @@
                 context.lease().epoch());
     }
 
-    private void requireLease(LoadRequest request) {
-        if (!context.lease().isValid()) {
-            throw new PlacementException(
-                    PlacementException.Reason.NO_LEASE,
-                    "lease of entry \"%s\" does not hold, slot \"%s\" is left as it is"
-                            .formatted(context.lease().entry(), request.slot()));
-        }
-    }
-
     private static PlacementException lost(LoadRequest request) {
         SlotId slot = request.slot();
         return new PlacementException(
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/PlacementContext.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/PlacementContext.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 
 import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.SlotId;
 import org.tarragonring.lease.EntryLease;
 import org.tarragonring.lease.LeaseObserver;
 import org.tarragonring.platform.RecordStore;
@@ -45,4 +46,18 @@
         Objects.requireNonNull(clock, "clock");
         Objects.requireNonNull(timers, "timers");
     }
+
+    /**
+     * Checks that this entry's lease holds at this moment.
+     *
+     * @param slot the placement that is to be acted on, not null
+     * @throws PlacementException if it does not hold
+     */
+    void requireLease(SlotId slot) {
+        if (!lease.isValid()) {
+            throw new PlacementException(
+                    PlacementException.Reason.NO_LEASE,
+                    "lease of entry \"%s\" does not hold, slot \"%s\" is left as it is".formatted(lease.entry(), slot));
+        }
+    }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Releaser.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Releaser.java
@@ -106,7 +106,7 @@
     }
 
     private UpstreamRecord unloading(UpstreamRecord old, Target target) {
-        requireLease(target.slot());
+        context.requireLease(target.slot());
         Optional<Reservation> current = old.find(target.slot());
         if (current.isEmpty()) {
             return old;
@@ -122,7 +122,7 @@
     }
 
     private Uni<Void> order(Target target, long fence) {
-        requireLease(target.slot());
+        context.requireLease(target.slot());
         Reservation reservation = target.reservation;
         EngineOrder order = new EngineOrder(
                 EngineOrder.Kind.UNLOAD,
@@ -147,7 +147,7 @@
 
     /** Orders the unload again while the engine shows the slot, as a late load order may bring it about. */
     private Uni<Optional<Boolean>> checkAbsent(Target target, Unload unload, EngineStatus status) {
-        requireLease(target.slot());
+        context.requireLease(target.slot());
         if (status.find(target.slot()).isPresent()) {
             return startUnload(target).chain(fence -> order(target, fence)).replaceWith(Optional.<Boolean>empty());
         }
@@ -182,15 +182,6 @@
                 .replaceWithVoid();
     }
 
-    private void requireLease(SlotId slot) {
-        if (!context.lease().isValid()) {
-            throw new PlacementException(
-                    PlacementException.Reason.NO_LEASE,
-                    "lease of entry \"%s\" does not hold, slot \"%s\" is left as it is"
-                            .formatted(context.lease().entry(), slot));
-        }
-    }
-
     /** What is freed and where. */
     private record Target(UpstreamId upstream, Reservation reservation, Engine engine) {
 
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/SettledUpstreams.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/SettledUpstreams.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
 
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.platform.ReservationState;
@@ -47,8 +48,8 @@
     }
 
     private static List<String> report(EngineStatus status) {
-        return java.util.stream.Stream.concat(
-                        java.util.stream.Stream.of(status.incarnation()),
+        return Stream.concat(
+                        Stream.of(status.incarnation()),
                         status.residents().stream()
                                 .map(r -> r.slot() + "/" + r.loaded())
                                 .sorted())
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
@@ -8,6 +8,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -155,9 +156,8 @@
         Router router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false));
         router.get("/status")
-                .handler(routing -> engine.status()
-                        .subscribe()
-                        .with(status -> routing.end(io.vertx.core.buffer.Buffer.buffer(Json.write(status)))));
+                .handler(routing ->
+                        engine.status().subscribe().with(status -> routing.end(Buffer.buffer(Json.write(status)))));
         router.post("/orders").handler(this::order);
         router.post("/v1/chat/completions").handler(this::chat);
         return router;
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/MemoryObjectStore.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/MemoryObjectStore.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.platform.ObjectStore;
@@ -189,10 +190,10 @@
 
         private final String prefix;
         private final long afterRevision;
-        private final java.util.function.Consumer<WatchBatch> target;
+        private final Consumer<WatchBatch> target;
         private boolean done;
 
-        private Watcher(String prefix, long afterRevision, java.util.function.Consumer<WatchBatch> target) {
+        private Watcher(String prefix, long afterRevision, Consumer<WatchBatch> target) {
             this.prefix = prefix;
             this.afterRevision = afterRevision;
             this.target = target;
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.tarragonring.config.ConfigManifest;
 import org.tarragonring.operator.ConfigRepository;
 import org.tarragonring.platform.StoreException;
 
@@ -111,8 +112,7 @@
     void racingPublishesPutOneInForce() {
         Fleet fleet = Fleet.started(39, 8, 1, true, 10);
         ConfigRepository repository = new ConfigRepository(fleet.store);
-        Optional<org.tarragonring.config.ConfigManifest> base =
-                repository.head().await().indefinitely();
+        Optional<ConfigManifest> base = repository.head().await().indefinitely();
         repository
                 .publish(base, "first", Fleet.objects(10, 2, "v1").objects())
                 .await()
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
@@ -11,6 +11,7 @@
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.entry.Clocks;
 import org.tarragonring.entry.ControlPlane;
+import org.tarragonring.entry.EntrySettings;
 import org.tarragonring.entry.SettingKey;
 import org.tarragonring.entry.SettingsFile;
 import org.tarragonring.ids.HostPort;
@@ -221,7 +222,7 @@
         }
     }
 
-    private org.tarragonring.entry.EntrySettings settings() {
+    private EntrySettings settings() {
         return SettingsFile.of(Map.of(
                         SettingKey.ID,
                         id,
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
@@ -128,11 +128,7 @@
         Fleet fleet = Fleet.started(17, 4, 2, true, 1);
         fleet.entries.forEach(entry -> fleet.demand(entry, MODEL, 1));
         fleet.run(Duration.ofMillis(300));
-        UpstreamId lost = fleet.engines.entrySet().stream()
-                .filter(e -> !e.getValue().slotsOf(MODEL).isEmpty())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        UpstreamId lost = upstreamWithModel(fleet);
         fleet.engines.get(lost).restart();
         fleet.engines.get(lost).setLeaving(true);
         fleet.listed.remove(lost);
@@ -156,11 +152,7 @@
     void leavingUpstreamIsReplaced() {
         Fleet fleet = Fleet.started(21, 4, 2, true, 1);
         keepAsking(fleet, Duration.ofSeconds(5));
-        UpstreamId leaving = fleet.engines.entrySet().stream()
-                .filter(e -> !e.getValue().slotsOf(MODEL).isEmpty())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        UpstreamId leaving = upstreamWithModel(fleet);
         Instance old = fleet.listed.get(leaving);
         fleet.listed.put(leaving, new Instance(old.id(), "", old.address(), old.failureDomain(), true));
         keepAsking(fleet, Duration.ofSeconds(15));
@@ -174,11 +166,7 @@
     void upstreamThatSaysItIsLeavingGetsNoNewWorkThoughTheListLags() {
         Fleet fleet = Fleet.started(25, 4, 2, true, 1);
         keepAsking(fleet, Duration.ofSeconds(5));
-        UpstreamId leaving = fleet.engines.entrySet().stream()
-                .filter(e -> !e.getValue().slotsOf(MODEL).isEmpty())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        UpstreamId leaving = upstreamWithModel(fleet);
         fleet.engines.get(leaving).setLeaving(true);
         keepAsking(fleet, Duration.ofSeconds(15));
         boolean elsewhere = fleet.engines.entrySet().stream()
@@ -218,6 +206,14 @@
         return List.of(true, false);
     }
 
+    private static UpstreamId upstreamWithModel(Fleet fleet) {
+        return fleet.engines.entrySet().stream()
+                .filter(e -> !e.getValue().slotsOf(MODEL).isEmpty())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
     private static FleetEntry home(Fleet fleet) {
         String id = fleet.entries.get(0).control().homes(MODEL).get(0).id().value();
         return fleet.entries.stream().filter(e -> e.id.equals(id)).findFirst().orElseThrow();
