Make the randomised run the same everywhere, and end orphaned suspicions

Immutable maps of the JDK iterate in an order drawn anew for each process, so the same seed gave other runs; and a suspicion ended only at the entry that had raised it: if that one died, a dead entry stayed usable, kept its upstreams and homes, and nobody reconciled them. Ruled out: the reconciler (its owner was dead), the harness. Conclusion: a gossiped state needs an end at every receiver.

--- a/tarragonring-core/src/main/java/org/tarragonring/config/ConfigChunks.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/config/ConfigChunks.java
@@ -7,8 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.zip.GZIPInputStream;
@@ -34,7 +35,7 @@
     private final List<String> sha256s;
 
     private ConfigChunks(Map<String, byte[]> bySha256, List<String> sha256s) {
-        this.bySha256 = Map.copyOf(bySha256);
+        this.bySha256 = Collections.unmodifiableMap(new LinkedHashMap<>(bySha256));
         this.sha256s = List.copyOf(sha256s);
     }
 
@@ -52,7 +53,7 @@
         objects.stream()
                 .sorted(Comparator.comparing(ConfigObject::section))
                 .forEach(object -> buckets.get(bucketOf(object)).add(object));
-        Map<String, byte[]> bySha256 = new HashMap<>();
+        Map<String, byte[]> bySha256 = new LinkedHashMap<>();
         List<String> sha256s = new ArrayList<>();
         for (List<ConfigObject> bucket : buckets) {
             if (bucket.isEmpty()) {
--- a/tarragonring-core/src/main/java/org/tarragonring/config/ConfigHolder.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/config/ConfigHolder.java
@@ -1,6 +1,7 @@
 package org.tarragonring.config;
 
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -63,8 +64,8 @@
         if (manifest.generation() <= generation()) {
             return false;
         }
-        Map<String, byte[]> used = new HashMap<>();
-        Map<String, List<ConfigObject>> parsed = new HashMap<>();
+        Map<String, byte[]> used = new LinkedHashMap<>();
+        Map<String, List<ConfigObject>> parsed = new LinkedHashMap<>();
         Map<String, List<ConfigObject>> known = current().map(Snapshot::objects).orElse(Map.of());
         for (String sha256 : manifest.chunkSha256s()) {
             if (!sha256.isEmpty()) {
@@ -75,8 +76,11 @@
         }
         List<ConfigObject> objects =
                 parsed.values().stream().flatMap(List::stream).toList();
-        Snapshot next =
-                new Snapshot(manifest, ConfigChecker.checkPublished(objects), Map.copyOf(used), Map.copyOf(parsed));
+        Snapshot next = new Snapshot(
+                manifest,
+                ConfigChecker.checkPublished(objects),
+                Collections.unmodifiableMap(used),
+                Collections.unmodifiableMap(parsed));
         lock.lock();
         try {
             if (manifest.generation() <= generation()) {
--- a/tarragonring-core/src/main/java/org/tarragonring/config/ConfigSet.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/config/ConfigSet.java
@@ -1,10 +1,12 @@
 package org.tarragonring.config;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
+import java.util.TreeMap;
+import java.util.function.Function;
 
 import org.tarragonring.ids.ModelName;
 
@@ -30,13 +32,20 @@
             Collection<Adapter> adapters,
             Collection<PlainService> services) {
         this.objects = List.copyOf(objects);
-        this.classes = classes.stream().collect(Collectors.toUnmodifiableMap(CallClass::name, c -> c));
-        this.teamsByKeySha256 = teams.stream().collect(Collectors.toUnmodifiableMap(Team::keySha256, t -> t));
-        this.models = models.stream().collect(Collectors.toUnmodifiableMap(Model::name, m -> m));
-        this.adapters = adapters.stream().collect(Collectors.toUnmodifiableMap(Adapter::name, a -> a));
+        this.classes = sorted(classes, CallClass::name);
+        this.teamsByKeySha256 = sorted(teams, Team::keySha256);
+        this.models = sorted(models, Model::name);
+        this.adapters = sorted(adapters, Adapter::name);
         this.services = List.copyOf(services);
     }
 
+    /** Indexes values in the order of their keys, so that every process goes through them in the same order. */
+    private static <K extends Comparable<K>, V> Map<K, V> sorted(Collection<V> values, Function<V, K> key) {
+        Map<K, V> sorted = new TreeMap<>();
+        values.forEach(value -> sorted.put(key.apply(value), value));
+        return Collections.unmodifiableMap(sorted);
+    }
+
     /**
      * Returns the objects as they were written.
      *
--- a/tarragonring-core/src/main/java/org/tarragonring/membership/FailureDetector.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/membership/FailureDetector.java
@@ -196,6 +196,10 @@
         timers.schedule(timing.probeTimeout(), () -> onIndirectTimeout(sequence, target, sentNanos));
     }
 
+    /**
+     * Suspects a member that did not answer, or waits for the end of a suspicion that another entry raised, which may
+     * itself be dead by then.
+     */
     private void onIndirectTimeout(long sequence, Member target, long sentNanos) {
         lock.lock();
         try {
@@ -206,7 +210,7 @@
             lock.unlock();
         }
         Member known = table.find(target.id()).orElse(target);
-        if (known.state() != MemberState.ALIVE || wasHeldUp(sentNanos)) {
+        if (!known.isUsable() || wasHeldUp(sentNanos)) {
             return;
         }
         if (table.apply(known.with(MemberState.SUSPECT, known.incarnation()))) {
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
@@ -1,12 +1,14 @@
 package org.tarragonring.upstream;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 
@@ -156,6 +158,6 @@
                 engines.remove(known.address());
             }
         }
-        instances = Map.copyOf(next);
+        instances = Collections.unmodifiableMap(new TreeMap<>(next));
     }
 }
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.tarragonring.config.ConfigManifest;
 import org.tarragonring.operator.ConfigRepository;
+import org.tarragonring.peer.MemberState;
 import org.tarragonring.platform.StoreException;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -144,6 +145,22 @@
         assertEquals(8, usable(dead));
     }
 
+    @Test
+    void suspicionOfADeadEntryEndsThoughWhoeverRaisedItDied() {
+        for (int seed = 50; seed < 60; seed++) {
+            Fleet fleet = Fleet.started(seed, 4, 1, true, 2);
+            fleet.entries.get(3).kill();
+            FleetEntry survivor = fleet.entries.get(0);
+            for (int i = 0; i < 400 && !isSuspected(survivor, "entry-3"); i++) {
+                fleet.run(Duration.ofMillis(50));
+            }
+            fleet.entries.get(1).kill();
+            fleet.entries.get(2).kill();
+            fleet.run(Duration.ofSeconds(60));
+            assertEquals(1, usable(survivor), "seed " + seed);
+        }
+    }
+
     @Test
     void cutOffEntryIsRefutedBackToLife() {
         Fleet fleet = Fleet.started(41, 8, 1, true, 10);
@@ -185,6 +202,11 @@
         assertTrue(replaced.control().state().leaseValid());
     }
 
+    private static boolean isSuspected(FleetEntry entry, String other) {
+        return entry.control().state().members().stream()
+                .anyMatch(m -> m.id().value().equals(other) && m.state() == MemberState.SUSPECT);
+    }
+
     private static long usable(FleetEntry entry) {
         return entry.control().state().members().stream()
                 .filter(member -> member.isUsable())
