--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/CheckCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/CheckCommand.java
@@ -6,7 +6,7 @@
 
 import org.tarragonring.config.ConfigSet;
 import org.tarragonring.config.ProblemsException;
-import org.tarragonring.platform.Json;
+import org.tarragonring.objects.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/DiffCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/DiffCommand.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.Callable;
 
 import org.tarragonring.config.ConfigObject;
+import org.tarragonring.objects.Json;
 import org.tarragonring.operator.ConfigDiff;
 import org.tarragonring.operator.ConfigRepository;
-import org.tarragonring.platform.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/GetCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/GetCommand.java
@@ -5,7 +5,7 @@
 
 import org.tarragonring.config.ConfigObject;
 import org.tarragonring.config.ObjectKind;
-import org.tarragonring.platform.Json;
+import org.tarragonring.objects.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/Main.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/Main.java
@@ -5,6 +5,7 @@
 import org.tarragonring.cli.bench.BenchCommand;
 import org.tarragonring.cli.demo.DemoCommand;
 import org.tarragonring.config.ProblemsException;
+import org.tarragonring.log.LogOutput;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.ParameterException;
@@ -45,7 +46,7 @@
     public static void main(String[] args) {
         System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
         System.setProperty("org.jboss.logging.provider", "jboss");
-        Logs.configure("plain", "warn");
+        LogOutput.configure(LogOutput.Target.ERROR, "plain", "warn");
         System.exit(commandLine().execute(args));
     }
 
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/PlatformOptions.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/PlatformOptions.java
@@ -6,9 +6,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.ext.web.client.WebClient;
 import org.tarragonring.ids.HostPort;
+import org.tarragonring.objects.HttpObjectStore;
+import org.tarragonring.objects.ObjectStore;
 import org.tarragonring.operator.ConfigRepository;
-import org.tarragonring.platform.HttpObjectStore;
-import org.tarragonring.platform.ObjectStore;
 import picocli.CommandLine.Option;
 
 /** Options of commands that work with the platform. */
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/PublishCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/PublishCommand.java
@@ -9,8 +9,8 @@
 
 import org.tarragonring.config.ConfigManifest;
 import org.tarragonring.config.ConfigSet;
+import org.tarragonring.objects.Json;
 import org.tarragonring.operator.Publisher;
-import org.tarragonring.platform.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/ServeCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/ServeCommand.java
@@ -11,6 +11,7 @@
 import org.tarragonring.entry.Entry;
 import org.tarragonring.entry.SettingKey;
 import org.tarragonring.entry.SettingsFile;
+import org.tarragonring.log.LogOutput;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -36,7 +37,8 @@
             settings.lines().forEach(System.out::println);
             return ExitCodes.DONE;
         }
-        Logs.configure(settings.text(SettingKey.LOG_FORMAT), settings.text(SettingKey.LOG_LEVEL));
+        LogOutput.configure(
+                LogOutput.Target.ERROR, settings.text(SettingKey.LOG_FORMAT), settings.text(SettingKey.LOG_LEVEL));
         Vertx vertx = Vertx.vertx();
         Entry entry = new Entry(vertx, settings.toSettings());
         CountDownLatch stopped = new CountDownLatch(1);
--- a/tarragonring-cli/src/test/java/org/tarragonring/cli/ProcessFailureTest.java
+++ b/tarragonring-cli/src/test/java/org/tarragonring/cli/ProcessFailureTest.java
@@ -17,8 +17,8 @@
 import org.tarragonring.cli.client.ChatCall;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.platform.Instance;
-import org.tarragonring.platform.Json;
+import org.tarragonring.objects.Instance;
+import org.tarragonring.objects.Json;
 import org.tarragonring.standin.proxy.FaultProxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ServiceCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ServiceCall.java
@@ -21,7 +21,7 @@
 import org.tarragonring.errors.RefusalReason;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.platform.Instance;
+import org.tarragonring.objects.Instance;
 import org.tarragonring.upstream.UpstreamAnswer;
 import org.tarragonring.upstream.UpstreamRequest;
 
--- a/tarragonring-core/src/main/java/org/tarragonring/claim/ClaimLedger.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/claim/ClaimLedger.java
@@ -12,9 +12,9 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.platform.ClaimRecord;
-import org.tarragonring.platform.RecordStore;
-import org.tarragonring.platform.RecordType;
+import org.tarragonring.objects.ClaimRecord;
+import org.tarragonring.objects.RecordStore;
+import org.tarragonring.objects.RecordType;
 import org.tarragonring.time.Timers;
 
 /**
@@ -60,7 +60,7 @@
      * @param key the call, not null
      * @param claimant this attempt; never used for another one; not null
      * @param fingerprint the request's hash, not null
-     * @return what the claim came to; fails with {@link org.tarragonring.platform.StoreException} if the claim was
+     * @return what the claim came to; fails with {@link org.tarragonring.objects.StoreException} if the claim was
      *     not confirmed, in which case the call must not be sent and the claim is released in the background
      */
     public CompletableFuture<ClaimOutcome> claim(ClaimKey key, String claimant, String fingerprint) {
--- a/tarragonring-core/src/main/java/org/tarragonring/claim/ClaimOperation.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/claim/ClaimOperation.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 
-import org.tarragonring.platform.ClaimRecord.Claim;
+import org.tarragonring.objects.ClaimRecord.Claim;
 
 /** A change of one claim. Applying it twice is the same as applying it once. */
 sealed interface ClaimOperation {
--- a/tarragonring-core/src/main/java/org/tarragonring/config/ConfigChunks.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/config/ConfigChunks.java
@@ -18,7 +18,7 @@
 import com.fasterxml.jackson.core.type.TypeReference;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.commons.codec.digest.MurmurHash3;
-import org.tarragonring.platform.Json;
+import org.tarragonring.objects.Json;
 
 /**
  * Splits a set of objects into chunks by the hash of each object's name, so that one changed object changes one
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/LeaseMembers.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/LeaseMembers.java
@@ -5,12 +5,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
+import org.tarragonring.objects.Json;
+import org.tarragonring.objects.LeaseRecord;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.StoredObject;
 import org.tarragonring.peer.Member;
 import org.tarragonring.peer.MemberState;
-import org.tarragonring.platform.Json;
-import org.tarragonring.platform.LeaseRecord;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.StoredObject;
 
 /** Makes members from lease records, for an entry that starts. */
 final class LeaseMembers {
--- a/tarragonring-core/src/main/java/org/tarragonring/lease/EntryLease.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/lease/EntryLease.java
@@ -7,10 +7,10 @@
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.platform.LeaseRecord;
-import org.tarragonring.platform.RecordStore;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.Versioned;
+import org.tarragonring.objects.LeaseRecord;
+import org.tarragonring.objects.RecordStore;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.Versioned;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
 
--- a/tarragonring-core/src/main/java/org/tarragonring/lease/LeaseJanitor.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/lease/LeaseJanitor.java
@@ -8,9 +8,9 @@
 import java.util.Objects;
 
 import io.smallrye.mutiny.Uni;
-import org.tarragonring.platform.ObjectStore;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.StoredObject;
+import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.StoredObject;
 import org.tarragonring.time.MonotonicClock;
 
 /**
--- a/tarragonring-core/src/main/java/org/tarragonring/lease/LeaseObserver.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/lease/LeaseObserver.java
@@ -6,10 +6,10 @@
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.EntryId;
-import org.tarragonring.platform.LeaseRecord;
-import org.tarragonring.platform.RecordStore;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.Versioned;
+import org.tarragonring.objects.LeaseRecord;
+import org.tarragonring.objects.RecordStore;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.Versioned;
 import org.tarragonring.time.MonotonicClock;
 
 /**
--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -69,6 +69,40 @@
     STREAM_RESUMED(703, Logger.Level.INFO, "stream resumed on upstream %s after %s tokens"),
     /** A claim could not be written. */
     CLAIM_FAILED(704, Logger.Level.WARN, "claims of bucket %s were not written: %s"),
+    /** The gateway serves callers. */
+    GATEWAY_STARTED(110, Logger.Level.INFO, "entry %s serves callers on %s and peers on %s after %s ms"),
+    /** The gateway is ready or no longer ready. */
+    GATEWAY_READINESS(111, Logger.Level.INFO, "entry %s ready=%s: %s"),
+    /** The gateway began its shutdown. */
+    GATEWAY_LEAVING(112, Logger.Level.INFO, "entry %s is leaving, %s calls in flight"),
+    /** The gateway ended. */
+    GATEWAY_STOPPED(113, Logger.Level.INFO, "entry %s stopped, %s calls cut off"),
+    /** A dependency is reached again or no longer reached. */
+    DEPENDENCY_STATE(114, Logger.Level.WARN, "dependency %s reached=%s: %s"),
+    /** A replica appeared in the list. */
+    REPLICA_LISTED(410, Logger.Level.INFO, "replica %s of service %s listed at %s"),
+    /** A replica is leaving. */
+    REPLICA_DRAINING(411, Logger.Level.INFO, "replica %s of service %s is draining"),
+    /** A replica is gone from the list. */
+    REPLICA_GONE(412, Logger.Level.INFO, "replica %s is gone from the list"),
+    /** An entry of the list could not be used. */
+    LIST_ENTRY_INVALID(413, Logger.Level.WARN, "object %s is ignored: field \"%s\" %s"),
+    /** An order got its reply. */
+    ORDER_REPLIED(420, Logger.Level.INFO, "order %s model=%s adapter=%s replica=%s sequence=%s fence=%s reply=%s"),
+    /** The right to order a group of replicas changed hands. */
+    ORDER_LEASE(421, Logger.Level.INFO, "order group %s held=%s fence=%s: %s"),
+    /** The planner decided a load. */
+    LOAD_PLANNED(422, Logger.Level.INFO, "load of %s planned on %s, evicting %s, from %s, because %s, waiting %s"),
+    /** A configuration came into force. */
+    SERVING_CONFIG(610, Logger.Level.INFO, "configuration version %s is in force, %s hosts, %s services"),
+    /** A call was sent to a replica. */
+    CALL_SENT(710, Logger.Level.INFO, "attempt %s sent to replica %s, in flight there %s, waited %s ms, left %s ms"),
+    /** A call waits for weights. */
+    CALL_WAITS(711, Logger.Level.INFO, "waits for model %s adapter \"%s\", %s already wait, left %s ms"),
+    /** A call ended. */
+    CALL_ENDED(712, Logger.Level.INFO, "ended status=%s outcome=%s after %s ms, attempts %s, replica %s: %s"),
+    /** A replica did not run a call or broke it off. */
+    ATTEMPT_FAILED(713, Logger.Level.INFO, "attempt on replica %s failed, verdict %s: %s"),
     /** An unexpected failure was caught. */
     UNEXPECTED(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
     /** An invariant does not hold. */
--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/Logs.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogOutput.java
@@ -1,4 +1,4 @@
-package org.tarragonring.cli;
+package org.tarragonring.log;
 
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -9,21 +9,32 @@
 import org.jboss.logmanager.formatters.PatternFormatter;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
-/** Sets up logging to standard error. */
-final class Logs {
+/**
+ * Sets up where and how log events are written.
+ *
+ * @since 0.2.0
+ */
+public final class LogOutput {
 
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} %-5p %s%e%n";
     private static final String ROOT = "";
 
-    private Logs() {}
+    private LogOutput() {}
 
-    static void configure(String format, String level) {
+    /**
+     * Writes log events to standard output or standard error.
+     *
+     * @param target where to write, not null
+     * @param format {@code json} or {@code plain}, not null
+     * @param level {@code error}, {@code warn}, {@code info} or {@code debug}, not null
+     */
+    public static void configure(Target target, String format, String level) {
         Logger root = LogContext.getLogContext().getLogger(ROOT);
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
         ConsoleHandler handler = new ConsoleHandler(
-                ConsoleHandler.Target.SYSTEM_ERR,
+                target == Target.OUTPUT ? ConsoleHandler.Target.SYSTEM_OUT : ConsoleHandler.Target.SYSTEM_ERR,
                 format.equals("json") ? new JsonFormatter() : new PatternFormatter(PATTERN));
         handler.setLevel(Level.ALL);
         root.addHandler(handler);
@@ -39,4 +50,12 @@
             default -> org.jboss.logmanager.Level.INFO;
         };
     }
+
+    /** Where log events are written. */
+    public enum Target {
+        /** Standard output. */
+        OUTPUT,
+        /** Standard error. */
+        ERROR
+    }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/ClaimRecord.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/ClaimRecord.java
@@ -1,4 +1,4 @@
-package org.tarragonring.platform;
+package org.tarragonring.objects;
 
 import java.util.Collections;
 import java.util.Map;
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/ModelRecord.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/ModelRecord.java
@@ -1,4 +1,4 @@
-package org.tarragonring.platform;
+package org.tarragonring.objects;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/ReservationState.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/ReservationState.java
@@ -1,4 +1,4 @@
-package org.tarragonring.platform;
+package org.tarragonring.objects;
 
 /**
  * How far a reservation on an upstream has come.
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/StoreException.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/StoreException.java
@@ -1,4 +1,4 @@
-package org.tarragonring.platform;
+package org.tarragonring.objects;
 
 import java.util.Objects;
 
@@ -39,6 +39,8 @@
         CONFLICT,
         /** The store refused or could not be reached; nothing was written. */
         UNAVAILABLE,
+        /** The history that a watch asked for is gone; the objects have to be listed again. */
+        HISTORY_GONE,
         /** The answer was lost; the write may have taken effect. */
         AMBIGUOUS
     }
--- a/tarragonring-core/src/main/java/org/tarragonring/platform/package-info.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/package-info.java
@@ -1,2 +1,2 @@
 /** The platform as a peer: its Object API, its instance list, and the records that this system keeps there. */
-package org.tarragonring.platform;
+package org.tarragonring.objects;
--- a/tarragonring-core/src/main/java/org/tarragonring/operator/AdminHandler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/operator/AdminHandler.java
@@ -8,7 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.ext.web.Router;
-import org.tarragonring.platform.Json;
+import org.tarragonring.objects.Json;
 
 /**
  * Takes operators' requests to one process: health, readiness, metrics and a dump of its whole state.
--- a/tarragonring-core/src/main/java/org/tarragonring/operator/ConfigRepository.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/operator/ConfigRepository.java
@@ -10,10 +10,10 @@
 import org.tarragonring.config.ConfigChunks;
 import org.tarragonring.config.ConfigManifest;
 import org.tarragonring.config.ConfigObject;
-import org.tarragonring.platform.Json;
-import org.tarragonring.platform.ObjectStore;
-import org.tarragonring.platform.StoreException;
-import org.tarragonring.platform.StoredObject;
+import org.tarragonring.objects.Json;
+import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreException;
+import org.tarragonring.objects.StoredObject;
 
 /**
  * Keeps the generations of the configuration in the platform's store.
--- a/tarragonring-core/src/main/java/org/tarragonring/operator/Publisher.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/operator/Publisher.java
@@ -9,7 +9,7 @@
 import org.tarragonring.config.ConfigManifest;
 import org.tarragonring.config.ConfigObject;
 import org.tarragonring.config.ConfigSet;
-import org.tarragonring.platform.StoreException;
+import org.tarragonring.objects.StoreException;
 
 /**
  * Publishes checked sets and tells racing operators apart.
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/DatagramCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/DatagramCodec.java
@@ -174,9 +174,11 @@
         if (message instanceof PeerMessage.BlobRequest request) {
             return WireBody.blobRequest(new WireBlobRequest(request.name(), request.offset()));
         }
-        PeerMessage.BlobPart part = (PeerMessage.BlobPart) message;
-        return WireBody.blobPart(
-                new WireBlobPart(part.name(), part.offset(), part.totalBytes(), ByteBuffer.wrap(part.content())));
+        if (message instanceof PeerMessage.BlobPart part) {
+            return WireBody.blobPart(
+                    new WireBlobPart(part.name(), part.offset(), part.totalBytes(), ByteBuffer.wrap(part.content())));
+        }
+        return ServingCodec.toWire(message);
     }
 
     private static WirePlacement toWire(PeerMessage.Placement placement) {
@@ -254,7 +256,7 @@
                         body.getBlobPart().getOffset(),
                         body.getBlobPart().getTotalBytes(),
                         body.getBlobPart().getContent());
-            default -> throw new IllegalArgumentException("the message has no known body");
+            default -> ServingCodec.fromWire(body);
         };
     }
 
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
@@ -87,6 +90,94 @@
      */
     record BlobPart(String name, int offset, int totalBytes, byte[] content) implements PeerMessage {}
 
+    /**
+     * Tells the planning entry how much the sender needs each model.
+     *
+     * @param demands one item for each model or adapter in demand, not null
+     */
+    record DemandReport(List<WeightDemand> demands) implements PeerMessage {
+
+        /** Copies the list. */
+        public DemandReport {
+            demands = List.copyOf(demands);
+        }
+    }
+
+    /**
+     * Asks the entry that holds a replica's order lease to make a model, or an adapter of it, resident there.
+     *
+     * @param replica the replica, not null
+     * @param model the model, not null
+     * @param adapter the adapter, empty for the model itself
+     * @param evict the models to unload first, not null
+     */
+    record LoadRequest(UpstreamId replica, ModelName model, String adapter, List<ModelName> evict)
+            implements PeerMessage {
+
+        /** Copies the list. */
+        public LoadRequest {
+            evict = List.copyOf(evict);
+        }
+    }
+
+    /**
+     * Tells what the holder of a replica's order lease knows of it.
+     *
+     * @param replica the replica, not null
+     * @param bornMillis when the replica's process started, in Unix milliseconds
+     * @param sequence the number of orders that the replica has accepted
+     * @param residents the models it holds with their adapters, not null
+     * @param loading the model that is being loaded, empty if none
+     * @param loadingMillis how much longer the load is expected to take
+     */
+    record ReplicaNotice(
+            UpstreamId replica,
+            long bornMillis,
+            long sequence,
+            Map<ModelName, Set<String>> residents,
+            Optional<ModelName> loading,
+            long loadingMillis)
+            implements PeerMessage {
+
+        /** Copies the residents. */
+        public ReplicaNotice {
+            residents = Map.copyOf(residents);
+        }
+    }
+
+    /**
+     * Names the order groups whose leases the sender holds.
+     *
+     * @param groups the groups, not null
+     */
+    record AuthorityNotice(List<Integer> groups) implements PeerMessage {
+
+        /** Copies the list. */
+        public AuthorityNotice {
+            groups = List.copyOf(groups);
+        }
+    }
+
+    /**
+     * How much an entry needs a model or an adapter.
+     *
+     * @param service the service whose replicas may hold it, not null
+     * @param model the model, not null
+     * @param adapter the adapter, empty for the model itself
+     * @param waiting calls that wait until it is resident somewhere
+     * @param running calls on replicas
+     * @param arrivals calls that arrived since the sender's last report
+     * @param slackMillis the time that the most urgent waiting call has left until its objective
+     */
+    record WeightDemand(
+            String service,
+            ModelName model,
+            String adapter,
+            int waiting,
+            int running,
+            int arrivals,
+            long slackMillis) {}
+
     /**
      * A replica of a model.
      *
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/ServingCodec.java
@@ -0,0 +1,111 @@
+package org.tarragonring.peer;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.peer.wire.WireAuthorityNotice;
+import org.tarragonring.peer.wire.WireBody;
+import org.tarragonring.peer.wire.WireDemandReport;
+import org.tarragonring.peer.wire.WireLoadRequest;
+import org.tarragonring.peer.wire.WireReplicaNotice;
+import org.tarragonring.peer.wire.WireResident;
+import org.tarragonring.peer.wire.WireWeightDemand;
+
+/** Translates the messages about demand, loads and order leases. */
+final class ServingCodec {
+
+    private ServingCodec() {}
+
+    static WireBody toWire(PeerMessage message) {
+        if (message instanceof PeerMessage.DemandReport report) {
+            return WireBody.demandReport(new WireDemandReport(
+                    report.demands().stream().map(ServingCodec::toWire).toList()));
+        }
+        if (message instanceof PeerMessage.LoadRequest request) {
+            return WireBody.loadRequest(new WireLoadRequest(
+                    request.replica().value(),
+                    request.model().value(),
+                    request.adapter(),
+                    request.evict().stream().map(ModelName::value).toList()));
+        }
+        if (message instanceof PeerMessage.ReplicaNotice notice) {
+            List<WireResident> residents = notice.residents().entrySet().stream()
+                    .map(e -> new WireResident(e.getKey().value(), List.copyOf(e.getValue())))
+                    .toList();
+            return WireBody.replicaNotice(new WireReplicaNotice(
+                    notice.replica().value(),
+                    notice.bornMillis(),
+                    notice.sequence(),
+                    residents,
+                    notice.loading().map(ModelName::value).orElse(""),
+                    notice.loadingMillis()));
+        }
+        if (message instanceof PeerMessage.AuthorityNotice notice) {
+            return WireBody.authorityNotice(new WireAuthorityNotice(notice.groups()));
+        }
+        throw new IllegalArgumentException("message %s has no wire form".formatted(message));
+    }
+
+    static PeerMessage fromWire(WireBody body) {
+        return switch (body.getSetField()) {
+            case DEMAND_REPORT ->
+                new PeerMessage.DemandReport(body.getDemandReport().getDemands().stream()
+                        .map(ServingCodec::fromWire)
+                        .toList());
+            case LOAD_REQUEST -> {
+                WireLoadRequest request = body.getLoadRequest();
+                yield new PeerMessage.LoadRequest(
+                        new UpstreamId(request.getReplica()),
+                        new ModelName(request.getModel()),
+                        request.getAdapter(),
+                        request.getEvict().stream().map(ModelName::new).toList());
+            }
+            case REPLICA_NOTICE -> fromWire(body.getReplicaNotice());
+            case AUTHORITY_NOTICE ->
+                new PeerMessage.AuthorityNotice(body.getAuthorityNotice().getGroups());
+            default -> throw new IllegalArgumentException("the message has no known body");
+        };
+    }
+
+    private static WireWeightDemand toWire(PeerMessage.WeightDemand demand) {
+        return new WireWeightDemand(
+                demand.service(),
+                demand.model().value(),
+                demand.adapter(),
+                demand.waiting(),
+                demand.running(),
+                demand.arrivals(),
+                demand.slackMillis());
+    }
+
+    private static PeerMessage.WeightDemand fromWire(WireWeightDemand wire) {
+        return new PeerMessage.WeightDemand(
+                wire.getServiceName(),
+                new ModelName(wire.getModel()),
+                wire.getAdapter(),
+                wire.getWaiting(),
+                wire.getRunning(),
+                wire.getArrivals(),
+                wire.getSlackMillis());
+    }
+
+    private static PeerMessage.ReplicaNotice fromWire(WireReplicaNotice wire) {
+        Map<ModelName, Set<String>> residents = new HashMap<>();
+        for (WireResident resident : wire.getResidents()) {
+            residents.put(new ModelName(resident.getModel()), new HashSet<>(resident.getAdapters()));
+        }
+        return new PeerMessage.ReplicaNotice(
+                new UpstreamId(wire.getReplica()),
+                wire.getBornMillis(),
+                wire.getSequence(),
+                residents,
+                wire.getLoading().isEmpty() ? Optional.empty() : Optional.of(new ModelName(wire.getLoading())),
+                wire.getLoadingMillis());
+    }
+}
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Candidate.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Candidate.java
@@ -2,8 +2,8 @@
 
 import java.util.Objects;
 
-import org.tarragonring.platform.Instance;
-import org.tarragonring.platform.UpstreamRecord;
+import org.tarragonring.objects.Instance;
+import org.tarragonring.objects.UpstreamRecord;
 import org.tarragonring.upstream.EngineStatus;
 
 /**
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Invariants.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Invariants.java
@@ -5,8 +5,8 @@
 import java.util.function.Consumer;
 
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.platform.ModelRecord;
-import org.tarragonring.platform.UpstreamRecord;
+import org.tarragonring.objects.ModelRecord;
+import org.tarragonring.objects.UpstreamRecord;
 
 /**
  * Checks what must hold at all times. A step that would break it is refused; the breach is counted and handed to a
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/LoadPermits.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/LoadPermits.java
@@ -6,9 +6,9 @@
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.EntryId;
-import org.tarragonring.platform.PermitRecord;
-import org.tarragonring.platform.RecordStore;
-import org.tarragonring.platform.RecordType;
+import org.tarragonring.objects.PermitRecord;
+import org.tarragonring.objects.RecordStore;
+import org.tarragonring.objects.RecordType;
 
 /**
  * Shares the weight store's parallel loads between all entries.
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/LoadPlanner.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/LoadPlanner.java
@@ -13,8 +13,8 @@
 import org.tarragonring.config.Model;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.SlotId;
-import org.tarragonring.platform.Reservation;
-import org.tarragonring.platform.ReservationState;
+import org.tarragonring.objects.Reservation;
+import org.tarragonring.objects.ReservationState;
 import org.tarragonring.upstream.CheckpointTier;
 import org.tarragonring.upstream.EngineStatus;
 
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Loader.java
@@ -8,12 +8,12 @@
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.platform.ModelRecord;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.Reservation;
-import org.tarragonring.platform.ReservationState;
-import org.tarragonring.platform.Slot;
-import org.tarragonring.platform.UpstreamRecord;
+import org.tarragonring.objects.ModelRecord;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.Reservation;
+import org.tarragonring.objects.ReservationState;
+import org.tarragonring.objects.Slot;
+import org.tarragonring.objects.UpstreamRecord;
 import org.tarragonring.time.Delays;
 import org.tarragonring.upstream.Engine;
 import org.tarragonring.upstream.EngineOrder;
@@ -59,7 +59,7 @@
      *
      * @param request the decision, not null
      * @return completes when the engine reported the model as loaded and the record says so; fails with
-     *     {@link PlacementException} or {@link org.tarragonring.platform.StoreException}, in which case
+     *     {@link PlacementException} or {@link org.tarragonring.objects.StoreException}, in which case
      *     {@link Releaser} must undo the slot
      */
     public Uni<Void> load(LoadRequest request) {
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelHome.java
@@ -17,8 +17,8 @@
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
+import org.tarragonring.objects.StoreException;
 import org.tarragonring.peer.PeerMessage;
-import org.tarragonring.platform.StoreException;
 import org.tarragonring.upstream.CheckpointTier;
 
 /**
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/PlacementContext.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/PlacementContext.java
@@ -7,7 +7,7 @@
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.lease.EntryLease;
 import org.tarragonring.lease.LeaseObserver;
-import org.tarragonring.platform.RecordStore;
+import org.tarragonring.objects.RecordStore;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
 import org.tarragonring.upstream.EngineDirectory;
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/Reconciler.java
@@ -13,11 +13,11 @@
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.Reservation;
-import org.tarragonring.platform.ReservationState;
-import org.tarragonring.platform.Slot;
-import org.tarragonring.platform.UpstreamRecord;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.Reservation;
+import org.tarragonring.objects.ReservationState;
+import org.tarragonring.objects.Slot;
+import org.tarragonring.objects.UpstreamRecord;
 import org.tarragonring.upstream.Engine;
 import org.tarragonring.upstream.EngineStatus;
 
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ReplicaOperations.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ReplicaOperations.java
@@ -16,14 +16,14 @@
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.lease.EntryLease;
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.platform.Instance;
-import org.tarragonring.platform.ModelRecord;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.Reservation;
-import org.tarragonring.platform.ReservationState;
-import org.tarragonring.platform.Slot;
-import org.tarragonring.platform.UpstreamRecord;
-import org.tarragonring.platform.Versioned;
+import org.tarragonring.objects.Instance;
+import org.tarragonring.objects.ModelRecord;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.Reservation;
+import org.tarragonring.objects.ReservationState;
+import org.tarragonring.objects.Slot;
+import org.tarragonring.objects.UpstreamRecord;
+import org.tarragonring.objects.Versioned;
 
 /**
  * Reads a model's replicas from the records, plans and carries out loads, and frees replicas.
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/SettledUpstreams.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/SettledUpstreams.java
@@ -7,8 +7,8 @@
 import java.util.stream.Stream;
 
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.platform.ReservationState;
-import org.tarragonring.platform.UpstreamRecord;
+import org.tarragonring.objects.ReservationState;
+import org.tarragonring.objects.UpstreamRecord;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.upstream.EngineStatus;
 
--- a/tarragonring-core/src/main/java/org/tarragonring/placement/StoreRetry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/StoreRetry.java
@@ -7,7 +7,7 @@
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.lease.EntryLease;
-import org.tarragonring.platform.StoreException;
+import org.tarragonring.objects.StoreException;
 import org.tarragonring.time.Delays;
 
 /**
--- a/tarragonring-core/src/main/java/org/tarragonring/spread/BlobStore.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/BlobStore.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 
 import org.tarragonring.config.ConfigHolder;
+import org.tarragonring.objects.Json;
 import org.tarragonring.peer.PeerMessage;
-import org.tarragonring.platform.Json;
 
 /**
  * Gives other entries the parts of the configuration in force.
--- a/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSpread.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSpread.java
@@ -19,11 +19,11 @@
 import org.tarragonring.config.ConfigManifest;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.log.LogEvent;
+import org.tarragonring.objects.Json;
+import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.WatchBatch;
 import org.tarragonring.operator.ConfigRepository;
 import org.tarragonring.peer.PeerMessage;
-import org.tarragonring.platform.Json;
-import org.tarragonring.platform.ObjectStore;
-import org.tarragonring.platform.WatchBatch;
 import org.tarragonring.time.Timers;
 
 /**
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/HttpEngine.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/HttpEngine.java
@@ -10,7 +10,7 @@
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
 import org.tarragonring.ids.HostPort;
-import org.tarragonring.platform.Json;
+import org.tarragonring.objects.Json;
 
 /**
  * Reaches a model engine over HTTP.
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamDirectory.java
@@ -15,8 +15,8 @@
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.platform.Instance;
-import org.tarragonring.platform.InstanceList;
+import org.tarragonring.objects.Instance;
+import org.tarragonring.objects.InstanceList;
 
 /**
  * Knows the upstreams of the instance list and how to reach their engines.
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -67,6 +67,49 @@
   4: required binary content
 }
 
+/** How much an entry needs a model or one of its adapters. */
+struct WireWeightDemand {
+  1: required string serviceName
+  2: required string model
+  3: required string adapter
+  4: required i32 waiting
+  5: required i32 running
+  6: required i32 arrivals
+  7: required i64 slackMillis
+}
+
+struct WireDemandReport {
+  1: required list<WireWeightDemand> demands
+}
+
+/** Asks the entry that holds a replica's order lease to make a model resident. */
+struct WireLoadRequest {
+  1: required string replica
+  2: required string model
+  3: required string adapter
+  4: required list<string> evict
+}
+
+struct WireResident {
+  1: required string model
+  2: required list<string> adapters
+}
+
+/** What the holder of a replica's order lease knows of it. */
+struct WireReplicaNotice {
+  1: required string replica
+  2: required i64 bornMillis
+  3: required i64 sequence
+  4: required list<WireResident> residents
+  5: required string loading
+  6: required i64 loadingMillis
+}
+
+/** Names the order groups that the sender holds. */
+struct WireAuthorityNotice {
+  1: required list<i32> groups
+}
+
 union WireBody {
   1: WireProbe probe
   2: WireProbeAck probeAck
@@ -75,6 +118,10 @@
   5: WirePlacement placement
   6: WireBlobRequest blobRequest
   7: WireBlobPart blobPart
+  8: WireDemandReport demandReport
+  9: WireLoadRequest loadRequest
+  10: WireReplicaNotice replicaNotice
+  11: WireAuthorityNotice authorityNotice
 }
 
 /** One datagram between entries. */
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/package-info.java
@@ -0,0 +1,2 @@
+/** The replicas that this entry knows. */
+package org.tarragonring.gateway.catalog;
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -0,0 +1,228 @@
+package org.tarragonring.gateway.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.PoolOptions;
+import org.tarragonring.gateway.call.CallCodec;
+import org.tarragonring.gateway.call.CallHead;
+import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.mesh.Mesh;
+import org.tarragonring.gateway.orders.OrderDesk;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ServiceName;
+import org.tarragonring.log.LogEvent;
+import org.tarragonring.policy.budget.RepeatBudget;
+import org.tarragonring.policy.config.RequestLimits;
+import org.tarragonring.policy.config.Route;
+import org.tarragonring.policy.config.ServingConfig;
+import org.tarragonring.policy.routing.ReplicaPicker;
+import org.tarragonring.routing.Ejections;
+import org.tarragonring.time.MonotonicClock;
+import org.tarragonring.time.Timers;
+
+/**
+ * Takes calls from callers: finds their route, reads their body and hands them to the forwarder.
+ *
+ * @since 0.2.0
+ */
+public final class CallServer {
+
+    /** A connection to a replica that takes longer is given up; nothing was sent on it. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+    /** The most connections to one replica; replicas bound them too. */
+    private static final int MAX_CONNECTIONS_PER_REPLICA = 200;
+
+    /** Callers may use connections up to the configured idle time, so they are kept a little longer. */
+    private static final int IDLE_MARGIN_SECONDS = 10;
+
+    private static final long RETRY_AFTER_NOT_READY_MILLIS = 500;
+
+    private final Vertx vertx;
+    private final HostPort address;
+    private final CallCodec codec;
+    private final Supplier<Optional<ServingConfig>> config;
+    private final BooleanSupplier ready;
+    private final MonotonicClock clock;
+    private final DoubleSupplier random;
+    private final Answers answers;
+    private final Forwarder forwarder;
+    private final DemandReporter reporter;
+    private HttpServer server;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param context what the server works with, not null
+     * @param config the configuration in force, not null
+     * @param ready tells whether calls can be served, not null
+     * @param leaving tells whether this entry is leaving, not null
+     * @param budgets the budget of repeats of each service, not null
+     * @param entries tells how many entries share the budgets, not null
+     * @param desk takes requests for adapters, not null
+     */
+    public CallServer(
+            Context context,
+            Supplier<Optional<ServingConfig>> config,
+            BooleanSupplier ready,
+            BooleanSupplier leaving,
+            Function<ServiceName, RepeatBudget> budgets,
+            IntSupplier entries,
+            OrderDesk desk) {
+        this.vertx = context.vertx;
+        this.address = context.address;
+        this.codec = context.codec;
+        this.config = Objects.requireNonNull(config, "config");
+        this.ready = Objects.requireNonNull(ready, "ready");
+        this.clock = context.clock;
+        this.random = context.random;
+        this.answers = new Answers(leaving);
+        HttpClientOptions options = new HttpClientOptions()
+                .setKeepAlive(false)
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setDecompressionSupported(false);
+        this.forwarder = new Forwarder(
+                codec,
+                context.catalog,
+                new ReplicaPicker(context.failureDomain, random),
+                context.ejections,
+                vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_REPLICA)),
+                budgets,
+                entries,
+                clock,
+                context.timers,
+                answers);
+        this.reporter = new DemandReporter(forwarder, context.catalog, desk, context.mesh, clock, context.timers);
+        context.catalog.onChange(forwarder::retryWaiting);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return completes when callers can connect
+     */
+    public CompletableFuture<Void> start() {
+        RequestLimits limits = RequestLimits.DEFAULT;
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(limits.maxHeaderBytes())
+                .setMaxInitialLineLength(limits.maxHeaderBytes())
+                .setIdleTimeout((int) limits.idleTimeout().toSeconds() + IDLE_MARGIN_SECONDS);
+        server = vertx.createHttpServer(options).requestHandler(this::onRequest);
+        reporter.start();
+        return server.listen(address.port(), address.host())
+                .<Void>mapEmpty()
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    /**
+     * Stops listening and closes the connections that are left.
+     *
+     * @return completes when nothing is open
+     */
+    public CompletableFuture<Void> stop() {
+        reporter.stop();
+        return server.close().toCompletionStage().toCompletableFuture();
+    }
+
+    /**
+     * Returns the number of calls that have not ended.
+     *
+     * @return a count
+     */
+    public int inFlight() {
+        return forwarder.inFlight();
+    }
+
+    private void onRequest(HttpServerRequest request) {
+        long arrivedMillis = clock.millis();
+        CallHead head;
+        try {
+            head = codec.decode(request.headers());
+        } catch (IllegalArgumentException e) {
+            LogEvent.CALL_REFUSED.log("malformed", "not-run", e.getMessage());
+            answers.fail(request, Answers.BAD_REQUEST, e.getMessage());
+            return;
+        }
+        if (config.get().isEmpty() || !ready.getAsBoolean()) {
+            refuseEarly(request, head, "this entry is not ready");
+            return;
+        }
+        ServingConfig inForce = config.get().get();
+        String host = request.authority() == null ? "" : request.authority().host();
+        Optional<Route> route = inForce.findRoute(host, request.path() == null ? "" : request.path());
+        if (route.isEmpty()) {
+            LogEvent.CALL_REFUSED.logForCall(head.id(), "no-route", "not-run", host + request.path());
+            answers.fail(request, Answers.NOT_FOUND, "no route matches");
+            return;
+        }
+        readBody(request, inForce.limits().maxBodyBytes(), body -> {
+            ServiceName service = route.get().serviceAt(random.getAsDouble());
+            long keptMillis = Math.min(
+                    head.deadline().orElse(route.get().timeout()).toMillis(),
+                    route.get().timeout().toMillis());
+            forwarder.accept(
+                    new Exchange(request, head, route.get(), service, body, arrivedMillis, arrivedMillis + keptMillis));
+        });
+    }
+
+    private void refuseEarly(HttpServerRequest request, CallHead head, String reason) {
+        LogEvent.CALL_REFUSED.logForCall(head.id(), "not-ready", "not-run", reason);
+        answers.refuse(request, reason, RETRY_AFTER_NOT_READY_MILLIS);
+    }
+
+    private void readBody(HttpServerRequest request, int maxBytes, Consumer<Buffer> next) {
+        Buffer body = Buffer.buffer();
+        request.handler(bytes -> {
+            body.appendBuffer(bytes);
+            if (body.length() > maxBytes) {
+                request.handler(null);
+                request.endHandler(null);
+                answers.fail(request, Answers.TOO_LARGE, "the body is longer than %d bytes".formatted(maxBytes));
+                request.connection().close();
+            }
+        });
+        request.endHandler(end -> next.accept(body));
+    }
+
+    /**
+     * What a call server works with.
+     *
+     * @param vertx runs the server, not null
+     * @param address where to listen, not null
+     * @param failureDomain this entry's failure domain, not null
+     * @param codec knows the headers, not null
+     * @param catalog the replicas, not null
+     * @param ejections tells which replicas fail, not null
+     * @param mesh the other entries, not null
+     * @param clock the monotonic clock, not null
+     * @param timers runs time-outs, not null
+     * @param random gives numbers from 0 to 1, not null
+     */
+    public record Context(
+            Vertx vertx,
+            HostPort address,
+            String failureDomain,
+            CallCodec codec,
+            ReplicaCatalog catalog,
+            Ejections ejections,
+            Mesh mesh,
+            MonotonicClock clock,
+            Timers timers,
+            DoubleSupplier random) {}
+}
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -0,0 +1,138 @@
+package org.tarragonring.gateway.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.mesh.Mesh;
+import org.tarragonring.gateway.orders.OrderDesk;
+import org.tarragonring.gateway.planning.PlanningService;
+import org.tarragonring.home.Rendezvous;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.ServiceName;
+import org.tarragonring.peer.PeerMessage;
+import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.time.MonotonicClock;
+import org.tarragonring.time.Timers;
+
+/**
+ * Tells the planning entry what this one needs, and asks for adapters of models that are resident.
+ *
+ * <p>Not safe for use by several threads.
+ */
+final class DemandReporter {
+
+    /** How often demand is reported while calls wait. */
+    private static final Duration WAITING_PERIOD = Duration.ofMillis(100);
+
+    /** How many of those periods pass between reports while no call waits. */
+    private static final int IDLE_PERIODS = 5;
+
+    /** How long calls that begin to wait together are gathered into one report. */
+    private static final Duration GATHER_TIME = Duration.ofMillis(2);
+
+    private final Forwarder forwarder;
+    private final ReplicaCatalog catalog;
+    private final OrderDesk desk;
+    private final Mesh mesh;
+    private final MonotonicClock clock;
+    private final Timers timers;
+    private boolean scheduled;
+    private int idlePeriods;
+    private Timers.Task ticking = () -> {};
+
+    DemandReporter(
+            Forwarder forwarder,
+            ReplicaCatalog catalog,
+            OrderDesk desk,
+            Mesh mesh,
+            MonotonicClock clock,
+            Timers timers) {
+        this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
+        this.catalog = Objects.requireNonNull(catalog, "catalog");
+        this.desk = Objects.requireNonNull(desk, "desk");
+        this.mesh = Objects.requireNonNull(mesh, "mesh");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.timers = Objects.requireNonNull(timers, "timers");
+    }
+
+    void start() {
+        forwarder.onWaiting(this::reportSoon);
+        ticking = timers.repeat(WAITING_PERIOD, this::tick);
+    }
+
+    void stop() {
+        ticking.cancel();
+    }
+
+    private void reportSoon() {
+        if (!scheduled) {
+            scheduled = true;
+            timers.schedule(GATHER_TIME, () -> {
+                scheduled = false;
+                report();
+            });
+        }
+    }
+
+    private void tick() {
+        idlePeriods++;
+        if (forwarder.waiting().size() > 0 || idlePeriods >= IDLE_PERIODS) {
+            report();
+        }
+    }
+
+    private void report() {
+        idlePeriods = 0;
+        Map<ModelKey, Totals> totals = new HashMap<>();
+        forwarder.takeArrivals().forEach((key, count) -> totals(totals, key).arrivals += count);
+        forwarder.running().forEach((key, count) -> totals(totals, key).running += count);
+        for (WeightKey key : forwarder.waiting().keys()) {
+            addWaiting(totals, key);
+        }
+        if (totals.isEmpty()) {
+            return;
+        }
+        List<PeerMessage.WeightDemand> demands = new ArrayList<>();
+        totals.forEach((key, t) -> demands.add(new PeerMessage.WeightDemand(
+                key.service.value(), key.model, "", t.waiting, t.running, t.arrivals, t.slackMillis)));
+        mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(demands));
+    }
+
+    private void addWaiting(Map<ModelKey, Totals> totals, WeightKey key) {
+        WeightKey base = new WeightKey(key.service(), key.model(), "");
+        List<ReplicaState> holders = catalog.holding(base);
+        if (!holders.isEmpty() && !key.adapter().isEmpty()) {
+            ReplicaState home = Rendezvous.rank(key.model() + "/" + key.adapter(), holders, r -> r.id().value())
+                    .get(0);
+            desk.request(new PeerMessage.LoadRequest(home.id(), key.model(), key.adapter(), List.of()));
+            return;
+        }
+        Totals sum = totals(totals, key);
+        for (Exchange exchange : forwarder.waiting().waitingFor(key)) {
+            long slackMillis =
+                    exchange.arrivedMillis + exchange.route.objective().toMillis() - clock.millis();
+            sum.waiting++;
+            sum.slackMillis = Math.min(sum.slackMillis, slackMillis);
+        }
+    }
+
+    private static Totals totals(Map<ModelKey, Totals> totals, WeightKey key) {
+        return totals.computeIfAbsent(new ModelKey(key.service(), key.model()), k -> new Totals());
+    }
+
+    private record ModelKey(ServiceName service, ModelName model) {}
+
+    private static final class Totals {
+
+        private int waiting;
+        private int running;
+        private int arrivals;
+        private long slackMillis = Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -0,0 +1,537 @@
+package org.tarragonring.gateway.forward;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.RequestOptions;
+import org.tarragonring.errors.Verdict;
+import org.tarragonring.gateway.call.CallCodec;
+import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.ServiceName;
+import org.tarragonring.log.LogEvent;
+import org.tarragonring.policy.budget.RepeatBudget;
+import org.tarragonring.policy.config.RouteKind;
+import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.policy.routing.ReplicaPicker;
+import org.tarragonring.routing.Ejections;
+import org.tarragonring.time.MonotonicClock;
+import org.tarragonring.time.Timers;
+
+/**
+ * Sends calls to replicas and decides what follows when an attempt fails.
+ *
+ * <p>Every attempt has a connection of its own. So no attempt meets a connection that died unnoticed, or bytes of an
+ * earlier answer, and a connection that cannot be established is known to have run nothing.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.2.0
+ */
+public final class Forwarder {
+
+    /** The largest number of rejections that one call survives. */
+    private static final int MAX_REJECTIONS = 8;
+
+    /** The pause before a call that every replica rejected is tried again. */
+    private static final Duration REJECTED_PAUSE = Duration.ofMillis(40);
+
+    /** The time below which sending a call on makes no sense. */
+    private static final long MIN_REMAINING_MILLIS = 15;
+
+    /** What callers are told when nothing is known about when a place is free. */
+    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
+    private final CallCodec codec;
+    private final ReplicaCatalog catalog;
+    private final ReplicaPicker picker;
+    private final Ejections ejections;
+    private final HttpClientAgent client;
+    private final Function<ServiceName, RepeatBudget> budgets;
+    private final IntSupplier entries;
+    private final MonotonicClock clock;
+    private final Timers timers;
+    private final Answers answers;
+    private final WaitingCalls waiting = new WaitingCalls();
+    private final Map<WeightKey, Integer> arrivals = new HashMap<>();
+    private final Map<WeightKey, Integer> running = new HashMap<>();
+    private Runnable onWaiting = () -> {};
+    private int inFlight;
+
+    /**
+     * Creates a forwarder.
+     *
+     * @param codec knows the headers, not null
+     * @param catalog the replicas, not null
+     * @param picker chooses replicas, not null
+     * @param ejections takes what replicas did, not null
+     * @param client opens connections, not null
+     * @param budgets the budget of repeats of each service, not null
+     * @param entries tells how many entries share the budgets, not null
+     * @param clock the monotonic clock, not null
+     * @param timers runs time-outs, not null
+     * @param answers writes this entry's own answers, not null
+     */
+    Forwarder(
+            CallCodec codec,
+            ReplicaCatalog catalog,
+            ReplicaPicker picker,
+            Ejections ejections,
+            HttpClientAgent client,
+            Function<ServiceName, RepeatBudget> budgets,
+            IntSupplier entries,
+            MonotonicClock clock,
+            Timers timers,
+            Answers answers) {
+        this.codec = Objects.requireNonNull(codec, "codec");
+        this.catalog = Objects.requireNonNull(catalog, "catalog");
+        this.picker = Objects.requireNonNull(picker, "picker");
+        this.ejections = Objects.requireNonNull(ejections, "ejections");
+        this.client = Objects.requireNonNull(client, "client");
+        this.budgets = Objects.requireNonNull(budgets, "budgets");
+        this.entries = Objects.requireNonNull(entries, "entries");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.timers = Objects.requireNonNull(timers, "timers");
+        this.answers = Objects.requireNonNull(answers, "answers");
+    }
+
+    /** Sets what runs when a call begins to wait. */
+    void onWaiting(Runnable action) {
+        onWaiting = action;
+    }
+
+    /** Returns the calls that have not ended. */
+    int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the calls that wait. */
+    WaitingCalls waiting() {
+        return waiting;
+    }
+
+    /** Returns and forgets the arrivals since the last time, by what they need. */
+    Map<WeightKey, Integer> takeArrivals() {
+        Map<WeightKey, Integer> taken = Map.copyOf(arrivals);
+        arrivals.clear();
+        return taken;
+    }
+
+    /** Returns the calls on replicas, by what they need. */
+    Map<WeightKey, Integer> running() {
+        return running;
+    }
+
+    /** Takes a call whose body has arrived. */
+    void accept(Exchange exchange) {
+        inFlight++;
+        budgets.apply(exchange.service).onCall();
+        exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
+        Timers.Task timeout =
+                timers.schedule(Duration.ofMillis(exchange.endMillis - clock.millis()), () -> onTimeout(exchange));
+        exchange.cancelTimer = timeout::cancel;
+        exchange.request.connection().closeHandler(closed -> onCallerGone(exchange));
+        dispatch(exchange);
+    }
+
+    /** Tries all calls that wait. */
+    void retryWaiting() {
+        for (WeightKey key : waiting.keys()) {
+            if (!catalog.holding(key).isEmpty()) {
+                waiting.take(key).forEach(this::dispatch);
+            }
+        }
+    }
+
+    private void dispatch(Exchange exchange) {
+        if (exchange.finished) {
+            return;
+        }
+        if (exchange.endMillis - clock.millis() < MIN_REMAINING_MILLIS) {
+            refuse(exchange, "too little time is left");
+            return;
+        }
+        List<ReplicaState> all = exchange.weights.isPresent()
+                ? catalog.holding(exchange.weights.get())
+                : catalog.usable(exchange.service);
+        List<ReplicaState> fresh =
+                all.stream().filter(r -> !exchange.avoided.contains(r.id())).toList();
+        Optional<ReplicaState> picked = picker.pick(fresh, exchange.affinityKey());
+        if (picked.isPresent()) {
+            send(exchange, picked.get());
+        } else if (!all.isEmpty()) {
+            exchange.avoided.clear();
+            timers.schedule(REJECTED_PAUSE, () -> dispatch(exchange));
+        } else if (exchange.weights.isPresent()) {
+            park(exchange);
+        } else {
+            refuse(exchange, "no replica of service %s may get work".formatted(exchange.service));
+        }
+    }
+
+    private void park(Exchange exchange) {
+        waiting.add(exchange);
+        WeightKey key = exchange.weights.orElseThrow();
+        LogEvent.CALL_WAITS.logForCall(
+                exchange.head.id(),
+                key.model(),
+                key.adapter(),
+                waiting.waitingFor(key).size() - 1,
+                exchange.endMillis - clock.millis());
+        onWaiting.run();
+    }
+
+    private void send(Exchange exchange, ReplicaState replica) {
+        exchange.replica = replica;
+        exchange.attempt++;
+        long remainingMillis = exchange.endMillis - clock.millis();
+        RequestOptions options = new RequestOptions()
+                .setHost(replica.listed().address().host())
+                .setPort(replica.listed().address().port())
+                .setMethod(exchange.request.method())
+                .setURI(exchange.request.uri())
+                .setHeaders(codec.toReplica(
+                        exchange.request.headers(),
+                        replica.id(),
+                        Duration.ofMillis(remainingMillis),
+                        exchange.framer.lastId()));
+        int attempt = exchange.attempt;
+        client.request(options)
+                .onFailure(failure -> onNotConnected(exchange, replica, attempt, failure))
+                .onSuccess(request -> onConnected(exchange, replica, attempt, request));
+    }
+
+    private void onNotConnected(Exchange exchange, ReplicaState replica, int attempt, Throwable failure) {
+        if (exchange.finished || exchange.attempt != attempt) {
+            return;
+        }
+        ejections.failed(replica.id());
+        logAttempt(exchange, Verdict.NOT_RUN, "no connection: " + failure.getMessage());
+        exchange.avoided.add(replica.id());
+        exchange.rejections++;
+        if (exchange.rejections > MAX_REJECTIONS) {
+            refuse(exchange, "no replica could be reached");
+        } else {
+            dispatch(exchange);
+        }
+    }
+
+    private void onConnected(Exchange exchange, ReplicaState replica, int attempt, HttpClientRequest request) {
+        boolean isStale = exchange.finished || exchange.attempt != attempt;
+        if (isStale || !catalog.isUsable(replica)) {
+            request.connection().close();
+            if (!isStale) {
+                dispatch(exchange);
+            }
+            return;
+        }
+        Attempt running = new Attempt(exchange, replica, attempt, request);
+        running.begin();
+    }
+
+    private void onTimeout(Exchange exchange) {
+        if (exchange.finished) {
+            return;
+        }
+        if (exchange.current == null) {
+            refuse(exchange, "the deadline passed while the call waited");
+        } else if (exchange.answering) {
+            breakOff(exchange, "the deadline passed while the answer was under way");
+        } else {
+            fail(exchange, Answers.GATEWAY_TIMEOUT, "the replica did not answer before the deadline");
+        }
+    }
+
+    private void onCallerGone(Exchange exchange) {
+        if (!exchange.finished) {
+            finish(exchange, 0, "caller-left", "the caller closed its connection");
+        }
+    }
+
+    private void refuse(Exchange exchange, String reason) {
+        if (exchange.answering) {
+            breakOff(exchange, reason);
+            return;
+        }
+        answers.refuse(exchange.request, reason, DEFAULT_RETRY_AFTER_MILLIS);
+        finish(exchange, Answers.UNAVAILABLE, "refused", reason);
+    }
+
+    private void fail(Exchange exchange, int status, String reason) {
+        if (exchange.answering) {
+            breakOff(exchange, reason);
+            return;
+        }
+        answers.fail(exchange.request, status, reason);
+        finish(exchange, status, "failed", reason);
+    }
+
+    /** Closes the caller's connection, so that an answer that is not complete does not look so. */
+    private void breakOff(Exchange exchange, String reason) {
+        finish(exchange, exchange.request.response().getStatusCode(), "broken-off", reason);
+        exchange.request.connection().close();
+    }
+
+    private void finish(Exchange exchange, int status, String outcome, String reason) {
+        exchange.finished = true;
+        inFlight--;
+        exchange.cancelTimer.run();
+        waiting.remove(exchange);
+        HttpClientRequest current = exchange.current;
+        exchange.current = null;
+        if (current != null) {
+            current.connection().close();
+        }
+        Answers.log(exchange, clock.millis(), status, outcome, reason);
+    }
+
+    private void onAttemptFailed(Exchange exchange, ReplicaState replica, Verdict verdict, String reason) {
+        logAttempt(exchange, verdict, reason);
+        exchange.avoided.add(replica.id());
+        boolean isBudgeted = verdict == Verdict.NOT_RUN
+                ? ++exchange.rejections <= MAX_REJECTIONS
+                : exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxAttempts();
+        if (isBudgeted && budgets.apply(exchange.service).tryRepeat(Math.max(1, entries.getAsInt()))) {
+            dispatch(exchange);
+        } else if (verdict == Verdict.NOT_RUN) {
+            refuse(exchange, reason);
+        } else {
+            fail(exchange, Answers.BAD_GATEWAY, reason);
+        }
+    }
+
+    private static void logAttempt(Exchange exchange, Verdict verdict, String reason) {
+        LogEvent.ATTEMPT_FAILED.logForCall(exchange.head.id(), exchange.replica.id(), verdict.text(), reason);
+    }
+
+    /** One request to a replica. */
+    private final class Attempt {
+
+        private final Exchange exchange;
+        private final ReplicaState replica;
+        private final int number;
+        private final HttpClientRequest request;
+        private boolean over;
+        private boolean connectionFailed;
+
+        Attempt(Exchange exchange, ReplicaState replica, int number, HttpClientRequest request) {
+            this.exchange = exchange;
+            this.replica = replica;
+            this.number = number;
+            this.request = request;
+        }
+
+        void begin() {
+            exchange.current = request;
+            replica.callStarted(model());
+            exchange.weights.ifPresent(key -> running.merge(key, 1, Integer::sum));
+            exchange.runs++;
+            LogEvent.CALL_SENT.logForCall(
+                    exchange.head.id(),
+                    number,
+                    replica.id(),
+                    replica.inFlight() - 1,
+                    clock.millis() - exchange.arrivedMillis,
+                    exchange.endMillis - clock.millis());
+            request.connection().exceptionHandler(failure -> connectionFailed = true);
+            request.connection().closeHandler(closed -> onClosed());
+            request.send(exchange.body)
+                    .onSuccess(this::onAnswer)
+                    .onFailure(failure -> failed(Verdict.MAY_HAVE_RUN, "no answer: " + failure.getMessage()));
+        }
+
+        private ModelName model() {
+            return exchange.weights.map(WeightKey::model).orElse(null);
+        }
+
+        /** Uncounts the attempt; true the first time. */
+        private boolean end() {
+            if (over) {
+                return false;
+            }
+            over = true;
+            replica.callEnded(model());
+            exchange.weights.ifPresent(
+                    key -> running.computeIfPresent(key, (k, count) -> count == 1 ? null : count - 1));
+            if (exchange.current == request) {
+                exchange.current = null;
+            }
+            return true;
+        }
+
+        private void onClosed() {
+            if (!over) {
+                failed(Verdict.MAY_HAVE_RUN, "the replica closed the connection");
+            }
+        }
+
+        private void failed(Verdict verdict, String reason) {
+            boolean isCurrent = exchange.current == request;
+            if (!end()) {
+                return;
+            }
+            request.connection().close();
+            if (exchange.finished || !isCurrent) {
+                return;
+            }
+            if (verdict == Verdict.NOT_RUN) {
+                exchange.runs--;
+            } else {
+                ejections.failed(replica.id());
+            }
+            onAttemptFailed(exchange, replica, verdict, reason);
+        }
+
+        private void onAnswer(HttpClientResponse answer) {
+            if (over || exchange.finished) {
+                request.connection().close();
+                end();
+                return;
+            }
+            CallCodec.AnswerHead head = codec.decodeAnswer(answer.statusCode(), answer.headers(), exchange.head.id());
+            boolean isSuccess = answer.statusCode() / 100 == 2;
+            if (!head.belongsToCall()) {
+                failed(Verdict.MAY_HAVE_RUN, "the answer belongs to another call");
+            } else if (head.notRun()) {
+                onRejected(answer.statusCode(), head);
+            } else if (isSuccess && !head.genuine()) {
+                failed(Verdict.MAY_HAVE_RUN, "the answer is not vouched for");
+            } else if (answer.statusCode() >= 500 && mayTryAgain()) {
+                failed(Verdict.RAN, "the replica answered with status " + answer.statusCode());
+            } else if (isSuccess && exchange.route.kind() == RouteKind.STREAM) {
+                new StreamRelay(answer).begin();
+            } else {
+                new BodyRelay(answer).begin();
+            }
+        }
+
+        private boolean mayTryAgain() {
+            return !exchange.answering && exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxAttempts();
+        }
+
+        private void onRejected(int status, CallCodec.AnswerHead head) {
+            if (head.otherReplica()) {
+                catalog.remove(replica.id());
+            } else if (status == 421) {
+                exchange.weights.ifPresent(key -> replica.onAbsent(key.model(), key.adapter()));
+            }
+            failed(Verdict.NOT_RUN, "the replica rejected the call with status " + status);
+        }
+
+        private void succeeded(int status, String reason) {
+            boolean isCurrent = exchange.current == request;
+            if (!end()) {
+                return;
+            }
+            request.connection().close();
+            if (status < 500) {
+                ejections.succeeded(replica.id());
+            } else {
+                ejections.failed(replica.id());
+            }
+            if (isCurrent && !exchange.finished) {
+                finish(exchange, status, "answered", reason);
+            }
+        }
+
+        /** Passes an answer on that is one body, once it is complete. */
+        private final class BodyRelay {
+
+            private final HttpClientResponse answer;
+            private final Buffer collected = Buffer.buffer();
+
+            BodyRelay(HttpClientResponse answer) {
+                this.answer = answer;
+            }
+
+            void begin() {
+                answer.exceptionHandler(failure -> failed(Verdict.MAY_HAVE_RUN, "the answer broke off"));
+                answer.handler(collected::appendBuffer);
+                answer.endHandler(end -> timers.schedule(Duration.ZERO, this::onEnd));
+            }
+
+            private void onEnd() {
+                if (over || exchange.finished) {
+                    return;
+                }
+                if (connectionFailed) {
+                    failed(Verdict.MAY_HAVE_RUN, "the connection broke off at the answer's end");
+                    return;
+                }
+                var response = exchange.request.response();
+                response.setStatusCode(answer.statusCode());
+                response.headers().setAll(codec.toCaller(answer.headers()));
+                answers.prepare(response);
+                response.end(collected);
+                succeeded(answer.statusCode(), "complete");
+            }
+        }
+
+        /** Passes the events of a stream on as they arrive. */
+        private final class StreamRelay {
+
+            private final HttpClientResponse answer;
+
+            StreamRelay(HttpClientResponse answer) {
+                this.answer = answer;
+            }
+
+            void begin() {
+                answer.exceptionHandler(failure -> onBroken("the stream broke off: " + failure.getMessage()));
+                answer.handler(this::onBytes);
+                answer.endHandler(end -> onEnd());
+            }
+
+            private void onBytes(Buffer bytes) {
+                if (over || exchange.finished) {
+                    return;
+                }
+                Buffer whole = exchange.framer.feed(bytes);
+                if (whole.length() == 0) {
+                    return;
+                }
+                var response = exchange.request.response();
+                if (!exchange.answering) {
+                    exchange.answering = true;
+                    response.setStatusCode(answer.statusCode());
+                    response.headers().setAll(codec.toCaller(answer.headers()));
+                    answers.prepare(response);
+                    response.setChunked(true);
+                }
+                response.write(whole);
+                if (response.writeQueueFull()) {
+                    answer.pause();
+                    response.drainHandler(drained -> answer.resume());
+                }
+            }
+
+            private void onEnd() {
+                if (over || exchange.finished) {
+                    return;
+                }
+                if (connectionFailed || exchange.framer.partial().length() > 0 || !exchange.answering) {
+                    onBroken("the stream ended inside an event");
+                    return;
+                }
+                exchange.request.response().end();
+                succeeded(answer.statusCode(), exchange.framer.events() + " events");
+            }
+
+            private void onBroken(String reason) {
+                exchange.framer.dropPartial();
+                failed(Verdict.MAY_HAVE_RUN, reason);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Forwards calls to replicas and answers to callers. */
+package org.tarragonring.gateway.forward;
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -0,0 +1,333 @@
+package org.tarragonring.gateway.orders;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.smallrye.mutiny.Uni;
+import org.tarragonring.gateway.call.Order;
+import org.tarragonring.gateway.call.ReplicaClient;
+import org.tarragonring.gateway.call.ReplicaClient.OrderReply;
+import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.log.LogEvent;
+import org.tarragonring.peer.PeerMessage;
+import org.tarragonring.policy.config.EngineSpec;
+import org.tarragonring.policy.config.ModelSpec;
+import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.time.Delays;
+import org.tarragonring.time.MonotonicClock;
+
+/**
+ * Carries out the loads of one replica under the lease of its group, one order after another.
+ *
+ * <p>Each order names the number of orders that the replica must have accepted before. So an order that arrives late,
+ * after a newer one, is refused by the replica, and what it holds when it accepts an order is known exactly.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.2.0
+ */
+final class ReplicaOrders {
+
+    /** The pause before an order is sent again that met another one under way or a run that still holds its model. */
+    private static final Duration CONFLICT_PAUSE = Duration.ofMillis(60);
+
+    /** The pause before the replica is asked what became of an order without an answer. */
+    private static final Duration UNKNOWN_PAUSE = Duration.ofMillis(400);
+
+    /** How often one order is tried; the planner asks again for what is still wanted. */
+    private static final int MAX_TRIES = 25;
+
+    /** After this many conflicts the replica is asked for its state, since it may differ from what is known. */
+    private static final int TRIES_BEFORE_REPORT = 3;
+
+    private final UpstreamId id;
+    private final EntryId self;
+    private final GroupLease lease;
+    private final ReplicaCatalog catalog;
+    private final ReplicaClient client;
+    private final MonotonicClock clock;
+    private final Delays delays;
+    private final Consumer<PeerMessage.ReplicaNotice> announcer;
+    private final Deque<PeerMessage.LoadRequest> queue = new ArrayDeque<>();
+    private final Map<String, Integer> loadCounts = new HashMap<>();
+    private boolean running;
+
+    ReplicaOrders(
+            UpstreamId id,
+            EntryId self,
+            GroupLease lease,
+            ReplicaCatalog catalog,
+            ReplicaClient client,
+            MonotonicClock clock,
+            Delays delays,
+            Consumer<PeerMessage.ReplicaNotice> announcer) {
+        this.id = Objects.requireNonNull(id, "id");
+        this.self = Objects.requireNonNull(self, "self");
+        this.lease = Objects.requireNonNull(lease, "lease");
+        this.catalog = Objects.requireNonNull(catalog, "catalog");
+        this.client = Objects.requireNonNull(client, "client");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.delays = Objects.requireNonNull(delays, "delays");
+        this.announcer = Objects.requireNonNull(announcer, "announcer");
+    }
+
+    /** Takes a request unless the same one already waits. */
+    void request(PeerMessage.LoadRequest request, EngineSpec engine) {
+        boolean isKnown = queue.stream()
+                .anyMatch(r -> r.model().equals(request.model()) && r.adapter().equals(request.adapter()));
+        boolean isModel = request.adapter().isEmpty();
+        boolean otherModelWaits =
+                isModel && queue.stream().anyMatch(r -> r.adapter().isEmpty());
+        if (isKnown || otherModelWaits) {
+            return;
+        }
+        queue.addLast(request);
+        if (!running) {
+            next(engine);
+        }
+    }
+
+    private void next(EngineSpec engine) {
+        PeerMessage.LoadRequest request = queue.peekFirst();
+        ReplicaState replica = catalog.find(id).orElse(null);
+        if (request == null || replica == null || !lease.isHeld()) {
+            queue.clear();
+            running = false;
+            return;
+        }
+        running = true;
+        Uni<Boolean> work = request.adapter().isEmpty()
+                ? loadModel(replica, request, engine)
+                : loadAdapter(replica, request, engine);
+        work.subscribe().with(done -> finished(engine), failure -> {
+            LogEvent.UNEXPECTED.log("orders to replica " + id, failure);
+            finished(engine);
+        });
+    }
+
+    private void finished(EngineSpec engine) {
+        queue.pollFirst();
+        next(engine);
+    }
+
+    private Uni<Boolean> loadModel(ReplicaState replica, PeerMessage.LoadRequest request, EngineSpec engine) {
+        if (replica.holds(request.model(), "")) {
+            return Uni.createFrom().item(true);
+        }
+        Uni<Boolean> steps = Uni.createFrom().item(true);
+        for (ModelName victim : request.evict()) {
+            steps = steps.flatMap(ok -> ok && replica.holds(victim, "") ? order(replica, false, victim, "") : same(ok));
+        }
+        return steps.flatMap(ok -> {
+            if (!ok || !fits(replica, request.model(), engine)) {
+                return same(false);
+            }
+            ModelSpec spec = engine.models().get(request.model());
+            Duration expected = loadTime(replica, spec);
+            return order(replica, true, request.model(), "")
+                    .flatMap(accepted -> accepted ? await(replica, spec, expected) : same(false));
+        });
+    }
+
+    private Uni<Boolean> loadAdapter(ReplicaState replica, PeerMessage.LoadRequest request, EngineSpec engine) {
+        ModelName model = request.model();
+        if (!replica.holds(model, "") || replica.holds(model, request.adapter())) {
+            return same(true);
+        }
+        int adapters = replica.residents().values().stream().mapToInt(Set::size).sum();
+        Uni<Boolean> room = adapters < engine.maxAdapters() ? same(true) : dropAdapter(replica);
+        return room.flatMap(ok -> ok ? order(replica, true, model, request.adapter()) : same(false));
+    }
+
+    /** Drops the adapter that was loaded longest ago. */
+    private Uni<Boolean> dropAdapter(ReplicaState replica) {
+        String oldest = null;
+        ModelName oldestModel = null;
+        for (Map.Entry<ModelName, Set<String>> resident : replica.residents().entrySet()) {
+            for (String adapter : resident.getValue()) {
+                String key = resident.getKey() + "/" + adapter;
+                if (oldest == null || loadCounts.getOrDefault(key, 0) < loadCounts.getOrDefault(oldest, 0)) {
+                    oldest = key;
+                    oldestModel = resident.getKey();
+                }
+            }
+        }
+        if (oldest == null) {
+            return same(false);
+        }
+        return order(replica, false, oldestModel, oldest.substring(oldest.indexOf('/') + 1));
+    }
+
+    /** Sends one order until the replica accepts it or refuses it for good. */
+    private Uni<Boolean> order(ReplicaState replica, boolean load, ModelName model, String adapter) {
+        int[] tries = {0};
+        return delays.until(CONFLICT_PAUSE, () -> attempt(replica, load, model, adapter, ++tries[0]));
+    }
+
+    private Uni<Optional<Boolean>> attempt(
+            ReplicaState replica, boolean load, ModelName model, String adapter, int tries) {
+        if (tries > MAX_TRIES || !lease.isHeld() || catalog.find(id).isEmpty()) {
+            return ended(false);
+        }
+        if (holdsAlready(replica, load, model, adapter)) {
+            return ended(true);
+        }
+        return lease.ensure().flatMap(mayOrder -> {
+            if (!mayOrder) {
+                return ended(false);
+            }
+            Order order = new Order(load, model, adapter, replica.sequence(), self, lease.fence());
+            return client.order(replica.listed(), order).flatMap(reply -> {
+                LogEvent.ORDER_REPLIED.log(
+                        load ? "load" : "unload", model, adapter, id, order.expectedSequence(), order.fence(), reply);
+                return onReply(replica, order, reply, tries);
+            });
+        });
+    }
+
+    private Uni<Optional<Boolean>> onReply(ReplicaState replica, Order order, OrderReply reply, int tries) {
+        switch (reply) {
+            case ACCEPTED -> {
+                apply(replica, order);
+                return ended(true);
+            }
+            case ALREADY_HOLDS -> {
+                return refresh(replica).map(done -> Optional.of(true));
+            }
+            case CONFLICT -> {
+                return tries % TRIES_BEFORE_REPORT == 0
+                        ? refresh(replica).map(done -> Optional.empty())
+                        : Uni.createFrom().item(Optional.empty());
+            }
+            case UNKNOWN -> {
+                return delays.after(UNKNOWN_PAUSE)
+                        .flatMap(waited -> refresh(replica))
+                        .map(done -> Optional.empty());
+            }
+            case FENCED -> {
+                lease.lost("replica " + id + " has seen a newer holder");
+                return ended(false);
+            }
+            default -> {
+                return ended(false);
+            }
+        }
+    }
+
+    private static boolean holdsAlready(ReplicaState replica, boolean load, ModelName model, String adapter) {
+        return replica.holds(model, adapter) == load
+                || load && replica.loading().equals(Optional.of(model));
+    }
+
+    /** Notes what the replica holds once it has accepted an order. */
+    private void apply(ReplicaState replica, Order order) {
+        Map<ModelName, Set<String>> residents = new HashMap<>(replica.residents());
+        Optional<ModelName> loading = Optional.empty();
+        if (order.adapter().isEmpty()) {
+            if (order.load()) {
+                loading = Optional.of(order.model());
+            } else {
+                residents.remove(order.model());
+            }
+        } else {
+            Set<String> adapters = new HashSet<>(residents.getOrDefault(order.model(), Set.of()));
+            if (order.load()) {
+                adapters.add(order.adapter());
+                loadCounts.put(order.model() + "/" + order.adapter(), loadCounts.size() + 1);
+            } else {
+                adapters.remove(order.adapter());
+            }
+            residents.put(order.model(), adapters);
+        }
+        replica.onOrders(replica.bornMillis(), replica.sequence() + 1, residents, loading, clock.millis());
+        announce(replica, Duration.ZERO);
+    }
+
+    /** Waits for a load, first as long as it should take, then by asking the replica. */
+    private Uni<Boolean> await(ReplicaState replica, ModelSpec spec, Duration expected) {
+        replica.onOrders(
+                replica.bornMillis(),
+                replica.sequence(),
+                replica.residents(),
+                Optional.of(spec.name()),
+                clock.millis() + expected.toMillis());
+        announce(replica, expected);
+        int[] tries = {0};
+        return delays.after(expected)
+                .flatMap(waited -> delays.until(
+                        CONFLICT_PAUSE,
+                        () -> refresh(replica).map(done -> {
+                            boolean isOver = replica.holds(spec.name(), "")
+                                    || replica.loading().isEmpty()
+                                    || ++tries[0] > MAX_TRIES * 8
+                                    || catalog.find(id).isEmpty();
+                            return isOver ? Optional.of(replica.holds(spec.name(), "")) : Optional.empty();
+                        })));
+    }
+
+    /** Asks the replica for its state and passes it on. */
+    private Uni<Void> refresh(ReplicaState replica) {
+        return client.report(replica.listed())
+                .invoke(report -> {
+                    replica.onHoldings(report.holdings());
+                    announce(replica, Duration.ZERO);
+                })
+                .replaceWithVoid()
+                .onFailure()
+                .recoverWithItem(failure -> {
+                    LogEvent.DEPENDENCY_STATE.log("replica " + id, false, "report: " + failure.getMessage());
+                    return null;
+                });
+    }
+
+    private void announce(ReplicaState replica, Duration loadingTime) {
+        catalog.changed();
+        announcer.accept(new PeerMessage.ReplicaNotice(
+                id,
+                replica.bornMillis(),
+                replica.sequence(),
+                replica.residents(),
+                replica.loading(),
+                loadingTime.toMillis()));
+    }
+
+    private static boolean fits(ReplicaState replica, ModelName model, EngineSpec engine) {
+        ModelSpec spec = engine.models().get(model);
+        if (spec == null) {
+            return false;
+        }
+        double used = 0;
+        for (ModelName resident : replica.residents().keySet()) {
+            ModelSpec other = engine.models().get(resident);
+            used += other == null ? engine.weightsMegabytes() : other.weightsMegabytes();
+        }
+        return used + spec.weightsMegabytes() <= engine.modelMegabytes();
+    }
+
+    private static Duration loadTime(ReplicaState replica, ModelSpec spec) {
+        return switch (replica.tierOf(spec.name())) {
+            case MEMORY -> spec.loadFromMemory();
+            case DISK -> spec.loadFromDisk();
+            default -> spec.loadFromStore();
+        };
+    }
+
+    private static Uni<Boolean> same(boolean value) {
+        return Uni.createFrom().item(value);
+    }
+
+    private static Uni<Optional<Boolean>> ended(boolean value) {
+        return Uni.createFrom().item(Optional.of(value));
+    }
+}
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
@@ -0,0 +1,129 @@
+package org.tarragonring.gateway.planning;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.ServiceName;
+import org.tarragonring.peer.PeerMessage.WeightDemand;
+import org.tarragonring.policy.placement.ModelNeed;
+import org.tarragonring.time.MonotonicClock;
+
+/**
+ * Adds up what all entries report of their demand.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.2.0
+ */
+public final class DemandBook {
+
+    /** Reports older than this no longer count, as their entry may be gone. */
+    private static final Duration REPORT_LIFETIME = Duration.ofMillis(1_500);
+
+    /** The time constant of the rates: short enough to follow models that fall silent within seconds. */
+    private static final double RATE_WINDOW_SECONDS = 5;
+
+    private final MonotonicClock clock;
+    private final Map<EntryId, Report> reports = new HashMap<>();
+    private final Map<ModelKey, Rate> rates = new HashMap<>();
+
+    /**
+     * Creates an empty book.
+     *
+     * @param clock the monotonic clock, not null
+     */
+    public DemandBook(MonotonicClock clock) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /**
+     * Takes a report, which replaces the entry's last one.
+     *
+     * @param from the entry, not null
+     * @param demands its demands, not null
+     */
+    public void report(EntryId from, List<WeightDemand> demands) {
+        long now = clock.millis();
+        reports.put(from, new Report(now, List.copyOf(demands)));
+        for (WeightDemand demand : demands) {
+            if (demand.arrivals() > 0) {
+                rates.computeIfAbsent(key(demand), key -> new Rate(now)).add(now, demand.arrivals());
+            }
+        }
+    }
+
+    /**
+     * Returns what entries need of one service's models.
+     *
+     * @param service the service, not null
+     * @return the needs by model
+     */
+    public Map<ModelName, ModelNeed> needs(ServiceName service) {
+        long now = clock.millis();
+        reports.values().removeIf(report -> now - report.atMillis > REPORT_LIFETIME.toMillis());
+        Map<ModelName, ModelNeed> needs = new HashMap<>();
+        rates.forEach((key, rate) -> {
+            if (key.service.equals(service)) {
+                needs.put(key.model, new ModelNeed(key.model, 0, 0, rate.perSecond(now), Long.MAX_VALUE));
+            }
+        });
+        for (Report report : new ArrayList<>(reports.values())) {
+            long ageMillis = now - report.atMillis;
+            for (WeightDemand demand : report.demands) {
+                if (demand.service().equals(service.value())) {
+                    needs.merge(demand.model(), need(demand, ageMillis), DemandBook::sum);
+                }
+            }
+        }
+        return needs;
+    }
+
+    private static ModelNeed need(WeightDemand demand, long ageMillis) {
+        int waiting = demand.adapter().isEmpty() ? demand.waiting() : 0;
+        long slackMillis = waiting > 0 ? demand.slackMillis() - ageMillis : Long.MAX_VALUE;
+        return new ModelNeed(demand.model(), waiting, demand.running(), 0, slackMillis);
+    }
+
+    private static ModelNeed sum(ModelNeed first, ModelNeed second) {
+        return new ModelNeed(
+                first.model(),
+                first.waiting() + second.waiting(),
+                first.running() + second.running(),
+                first.callsPerSecond() + second.callsPerSecond(),
+                Math.min(first.slackMillis(), second.slackMillis()));
+    }
+
+    private static ModelKey key(WeightDemand demand) {
+        return new ModelKey(new ServiceName(demand.service()), demand.model());
+    }
+
+    private record ModelKey(ServiceName service, ModelName model) {}
+
+    private record Report(long atMillis, List<WeightDemand> demands) {}
+
+    /** A rate that decays exponentially. */
+    private static final class Rate {
+
+        private double value;
+        private long atMillis;
+
+        Rate(long atMillis) {
+            this.atMillis = atMillis;
+        }
+
+        void add(long nowMillis, int arrivals) {
+            value = perSecond(nowMillis) + arrivals / RATE_WINDOW_SECONDS;
+            atMillis = nowMillis;
+        }
+
+        double perSecond(long nowMillis) {
+            return value * Math.exp(-(nowMillis - atMillis) / 1_000.0 / RATE_WINDOW_SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Bounds how often calls are sent again. */
+package org.tarragonring.policy.budget;
--- /dev/null
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -0,0 +1,291 @@
+package org.tarragonring.policy.replica;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.policy.replica.ListedReplica.Holdings;
+import org.tarragonring.upstream.CheckpointTier;
+
+/**
+ * Merges what the list, the replica's reports and the holder of its order lease say of a replica.
+ *
+ * <p>The number of accepted orders decides which word is newer. Within one number, a completed load is added to what the
+ * list says, since the list lags.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @since 0.2.0
+ */
+public final class ReplicaState {
+
+    private ListedReplica listed;
+    private long bornMillis;
+    private long sequence;
+    private final Map<ModelName, Set<String>> residents = new HashMap<>();
+    private final Map<ModelName, Integer> inFlight = new HashMap<>();
+    private Set<ModelName> inMemory = Set.of();
+    private Set<ModelName> onDisk = Set.of();
+    private Optional<ModelName> loading = Optional.empty();
+    private long loadingUntilMillis;
+    private int totalInFlight;
+
+    /**
+     * Creates the state of a replica that was just listed.
+     *
+     * @param listed what the list says, not null
+     */
+    public ReplicaState(ListedReplica listed) {
+        this.listed = Objects.requireNonNull(listed, "listed");
+        restart(listed.holdings());
+    }
+
+    /**
+     * Takes what the list says.
+     *
+     * @param update a newer entry of the list, not null
+     */
+    public void onListed(ListedReplica update) {
+        listed = update;
+        onHoldings(update.holdings());
+    }
+
+    /**
+     * Takes what the replica says of itself.
+     *
+     * @param holdings what it holds, not null
+     */
+    public void onHoldings(Holdings holdings) {
+        if (holdings.bornMillis() < bornMillis) {
+            return;
+        }
+        if (holdings.bornMillis() > bornMillis) {
+            restart(holdings);
+            return;
+        }
+        inMemory = holdings.inMemory();
+        onDisk = holdings.onDisk();
+        if (holdings.sequence() < sequence) {
+            return;
+        }
+        if (holdings.sequence() > sequence) {
+            sequence = holdings.sequence();
+            residents.clear();
+            loading = loading.filter(model -> !holdings.residents().containsKey(model));
+        }
+        holdings.residents().forEach(this::addResident);
+        loading = loading.filter(model -> !residents.containsKey(model));
+    }
+
+    /**
+     * Takes what the holder of the order lease says.
+     *
+     * @param newBornMillis when the replica's process started, in Unix milliseconds
+     * @param newSequence the number of orders it has accepted
+     * @param newResidents what it can run, not null
+     * @param newLoading what it loads, not null
+     * @param untilMillis when the load is expected to end, on the monotonic clock
+     */
+    public void onOrders(
+            long newBornMillis,
+            long newSequence,
+            Map<ModelName, Set<String>> newResidents,
+            Optional<ModelName> newLoading,
+            long untilMillis) {
+        if (newBornMillis < bornMillis || newBornMillis == bornMillis && newSequence < sequence) {
+            return;
+        }
+        bornMillis = newBornMillis;
+        sequence = newSequence;
+        residents.clear();
+        newResidents.forEach(this::addResident);
+        loading = newLoading;
+        loadingUntilMillis = untilMillis;
+    }
+
+    /**
+     * Notes that the replica said it does not hold something.
+     *
+     * @param model the model, not null
+     * @param adapter the adapter, empty for the model itself
+     */
+    public void onAbsent(ModelName model, String adapter) {
+        if (adapter.isEmpty()) {
+            residents.remove(model);
+        } else {
+            residents.computeIfPresent(model, (key, adapters) -> without(adapters, adapter));
+        }
+    }
+
+    /**
+     * Checks if the replica can run a model.
+     *
+     * @param model the model, not null
+     * @param adapter the adapter, empty for the model itself
+     * @return true if it is resident
+     */
+    public boolean holds(ModelName model, String adapter) {
+        Set<String> adapters = residents.get(model);
+        return adapters != null && (adapter.isEmpty() || adapters.contains(adapter));
+    }
+
+    /**
+     * Counts a call that was sent to the replica.
+     *
+     * @param model the model it needs, null for plain services
+     */
+    public void callStarted(ModelName model) {
+        totalInFlight++;
+        if (model != null) {
+            inFlight.merge(model, 1, Integer::sum);
+        }
+    }
+
+    /**
+     * Uncounts a call that ended.
+     *
+     * @param model the model it needed, null for plain services
+     */
+    public void callEnded(ModelName model) {
+        totalInFlight--;
+        if (model != null) {
+            inFlight.computeIfPresent(model, (key, count) -> count == 1 ? null : count - 1);
+        }
+    }
+
+    /**
+     * Returns the replica.
+     *
+     * @return its id, never null
+     */
+    public UpstreamId id() {
+        return listed.id();
+    }
+
+    /**
+     * Returns the newest entry of the list.
+     *
+     * @return the entry, never null
+     */
+    public ListedReplica listed() {
+        return listed;
+    }
+
+    /**
+     * Returns what the replica can run.
+     *
+     * @return the models with their adapters
+     */
+    public Map<ModelName, Set<String>> residents() {
+        return Map.copyOf(residents);
+    }
+
+    /**
+     * Tells from where the replica would load a model.
+     *
+     * @param model the model, not null
+     * @return the nearest copy
+     */
+    public CheckpointTier tierOf(ModelName model) {
+        if (inMemory.contains(model)) {
+            return CheckpointTier.MEMORY;
+        }
+        return onDisk.contains(model) ? CheckpointTier.DISK : CheckpointTier.REMOTE;
+    }
+
+    /**
+     * Returns the models of which the replica has a copy on disk or in main memory.
+     *
+     * @return a new set
+     */
+    public Set<ModelName> copies() {
+        Set<ModelName> copies = new HashSet<>(inMemory);
+        copies.addAll(onDisk);
+        return copies;
+    }
+
+    /**
+     * Returns the model that the replica loads.
+     *
+     * @return the model, or empty
+     */
+    public Optional<ModelName> loading() {
+        return loading;
+    }
+
+    /**
+     * Returns when the load is expected to end.
+     *
+     * @return a reading of the monotonic clock in milliseconds
+     */
+    public long loadingUntilMillis() {
+        return loadingUntilMillis;
+    }
+
+    /**
+     * Returns the calls of this entry that the replica runs.
+     *
+     * @return a count
+     */
+    public int inFlight() {
+        return totalInFlight;
+    }
+
+    /**
+     * Returns the calls of this entry that need a model on the replica.
+     *
+     * @param model the model, not null
+     * @return a count
+     */
+    public int inFlight(ModelName model) {
+        return inFlight.getOrDefault(model, 0);
+    }
+
+    /**
+     * Returns when the replica's process started.
+     *
+     * @return Unix milliseconds
+     */
+    public long bornMillis() {
+        return bornMillis;
+    }
+
+    /**
+     * Returns the number of orders that the replica has accepted.
+     *
+     * @return a count since its start
+     */
+    public long sequence() {
+        return sequence;
+    }
+
+    private void restart(Holdings holdings) {
+        bornMillis = holdings.bornMillis();
+        sequence = holdings.sequence();
+        residents.clear();
+        holdings.residents().forEach(this::addResident);
+        inMemory = holdings.inMemory();
+        onDisk = holdings.onDisk();
+        loading = Optional.empty();
+    }
+
+    private void addResident(ModelName model, Set<String> adapters) {
+        residents.merge(model, new HashSet<>(adapters), ReplicaState::union);
+    }
+
+    private static Set<String> union(Set<String> first, Set<String> second) {
+        first.addAll(second);
+        return first;
+    }
+
+    private static Set<String> without(Set<String> adapters, String adapter) {
+        Set<String> rest = new HashSet<>(adapters);
+        rest.remove(adapter);
+        return rest;
+    }
+}
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
@@ -20,7 +20,7 @@
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.SlotId;
-import org.tarragonring.platform.Json;
+import org.tarragonring.objects.Json;
 import org.tarragonring.upstream.EngineOrder;
 import org.tarragonring.upstream.OrderOutcome;
 import org.tarragonring.upstream.UpstreamHeaders;
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/FaultyObjectStore.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/FaultyObjectStore.java
@@ -7,10 +7,10 @@
 import java.util.function.Supplier;
 
 import io.smallrye.mutiny.Uni;
-import org.tarragonring.platform.ObjectStore;
-import org.tarragonring.platform.StoreException;
-import org.tarragonring.platform.StoredObject;
-import org.tarragonring.platform.WatchBatch;
+import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreException;
+import org.tarragonring.objects.StoredObject;
+import org.tarragonring.objects.WatchBatch;
 import org.tarragonring.time.Delays;
 import org.tarragonring.time.Timers;
 
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/MemoryObjectStore.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/MemoryObjectStore.java
@@ -13,10 +13,10 @@
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
-import org.tarragonring.platform.ObjectStore;
-import org.tarragonring.platform.StoreException;
-import org.tarragonring.platform.StoredObject;
-import org.tarragonring.platform.WatchBatch;
+import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreException;
+import org.tarragonring.objects.StoredObject;
+import org.tarragonring.objects.WatchBatch;
 import org.tarragonring.time.Timers;
 
 /**
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/PlatformServer.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/PlatformServer.java
@@ -23,10 +23,10 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.platform.Instance;
-import org.tarragonring.platform.Json;
-import org.tarragonring.platform.StoreException;
-import org.tarragonring.platform.StoredObject;
+import org.tarragonring.objects.Instance;
+import org.tarragonring.objects.Json;
+import org.tarragonring.objects.StoreException;
+import org.tarragonring.objects.StoredObject;
 import org.tarragonring.time.Timers;
 import org.tarragonring.time.VertxTimers;
 
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/Audit.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/Audit.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 import org.tarragonring.ids.ModelName;
-import org.tarragonring.platform.ModelRecord;
-import org.tarragonring.platform.RecordType;
-import org.tarragonring.platform.UpstreamRecord;
+import org.tarragonring.objects.ModelRecord;
+import org.tarragonring.objects.RecordType;
+import org.tarragonring.objects.UpstreamRecord;
 
 /** Checks from outside, in the engines and the platform, what must hold at all times. */
 final class Audit {
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigSpreadTest.java
@@ -6,9 +6,9 @@
 
 import org.junit.jupiter.api.Test;
 import org.tarragonring.config.ConfigManifest;
+import org.tarragonring.objects.StoreException;
 import org.tarragonring.operator.ConfigRepository;
 import org.tarragonring.peer.MemberState;
-import org.tarragonring.platform.StoreException;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/GatedObjectStore.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/GatedObjectStore.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 
 import io.smallrye.mutiny.Uni;
-import org.tarragonring.platform.ObjectStore;
-import org.tarragonring.platform.StoredObject;
-import org.tarragonring.platform.WatchBatch;
+import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoredObject;
+import org.tarragonring.objects.WatchBatch;
 
 /** Passes every answer of another store through a gate. */
 final class GatedObjectStore implements ObjectStore {
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.platform.Instance;
+import org.tarragonring.objects.Instance;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
