Tell heartbeat counts from order counts, and end body answers before the close

Only reports count orders now. Cause 2: the end of a one-body answer was handled a millisecond late, after the connection's close, so that every plain answer became a 502.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -60,7 +60,7 @@
     public void put(ListedReplica listed) {
         ReplicaState known = replicas.get(listed.id());
         if (known == null) {
-            replicas.put(listed.id(), new ReplicaState(listed));
+            replicas.put(listed.id(), new ReplicaState(listed, clock));
             LogEvent.REPLICA_LISTED.log(listed.id(), listed.service(), listed.address());
         } else {
             if (listed.draining() && !known.listed().draining()) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -458,7 +458,7 @@
             void begin() {
                 answer.exceptionHandler(failure -> failed(Verdict.MAY_HAVE_RUN, "the answer broke off"));
                 answer.handler(collected::appendBuffer);
-                answer.endHandler(end -> timers.schedule(Duration.ZERO, this::onEnd));
+                answer.endHandler(end -> onEnd());
             }
 
             private void onEnd() {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -23,6 +23,7 @@
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ModelSpec;
+import org.tarragonring.policy.replica.ListedReplica.Holdings;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.Delays;
 import org.tarragonring.time.MonotonicClock;
@@ -183,11 +184,14 @@
         if (holdsAlready(replica, load, model, adapter)) {
             return ended(true);
         }
+        if (replica.orders() == Holdings.UNKNOWN_ORDERS) {
+            return refresh(replica).map(done -> Optional.empty());
+        }
         return lease.ensure().flatMap(mayOrder -> {
             if (!mayOrder) {
                 return ended(false);
             }
-            Order order = new Order(load, model, adapter, replica.sequence(), self, lease.fence());
+            Order order = new Order(load, model, adapter, replica.orders(), self, lease.fence());
             return client.order(replica.listed(), order).flatMap(reply -> {
                 LogEvent.ORDER_REPLIED.log(
                         load ? "load" : "unload", model, adapter, id, order.expectedSequence(), order.fence(), reply);
@@ -250,7 +254,7 @@
             }
             residents.put(order.model(), adapters);
         }
-        replica.onOrders(replica.bornMillis(), replica.sequence() + 1, residents, loading, clock.millis());
+        replica.onOrders(replica.bornMillis(), replica.orders() + 1, residents, loading, clock.millis());
         announce(replica, Duration.ZERO);
     }
 
@@ -258,7 +262,7 @@
     private Uni<Boolean> await(ReplicaState replica, ModelSpec spec, Duration expected) {
         replica.onOrders(
                 replica.bornMillis(),
-                replica.sequence(),
+                replica.orders(),
                 replica.residents(),
                 Optional.of(spec.name()),
                 clock.millis() + expected.toMillis());
@@ -296,7 +300,7 @@
         announcer.accept(new PeerMessage.ReplicaNotice(
                 id,
                 replica.bornMillis(),
-                replica.sequence(),
+                replica.orders(),
                 replica.residents(),
                 replica.loading(),
                 loadingTime.toMillis()));
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ListedReplica.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ListedReplica.java
@@ -43,18 +43,21 @@
      * What a replica says it holds.
      *
      * @param bornMillis when its process started, in Unix milliseconds
-     * @param sequence the number of orders it has accepted since
+     * @param orders the number of orders it has accepted since, {@link #UNKNOWN_ORDERS} if it does not say
      * @param residents the models that it can run, with the adapters of each; not null
      * @param inMemory the models of which it keeps a copy in main memory, not null
      * @param onDisk the models of which it keeps a copy on disk, not null
      */
     public record Holdings(
             long bornMillis,
-            long sequence,
+            long orders,
             Map<ModelName, Set<String>> residents,
             Set<ModelName> inMemory,
             Set<ModelName> onDisk) {
 
+        /** Stands for a number of orders that the replica does not say. */
+        public static final long UNKNOWN_ORDERS = -1;
+
         /** Copies the collections. */
         public Holdings {
             residents = Map.copyOf(residents);
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -10,13 +10,14 @@
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.replica.ListedReplica.Holdings;
+import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.upstream.CheckpointTier;
 
 /**
  * Merges what the list, the replica's reports and the holder of its order lease say of a replica.
  *
- * <p>The number of accepted orders decides which word is newer. Within one number, a completed load is added to what the
- * list says, since the list lags.
+ * <p>The number of accepted orders decides which report or notice is newer. The list does not say that number and lags,
+ * so what it says of residents counts only when nothing was heard of the replica's orders for a while.
  *
  * <p>Not safe for use by several threads.
  *
@@ -24,9 +25,14 @@
  */
 public final class ReplicaState {
 
+    /** How old an entry of the list may be: a heartbeat, its way into the list and the pause between two looks at it. */
+    static final long LIST_LAG_MILLIS = 3_500;
+
+    private final MonotonicClock clock;
     private ListedReplica listed;
     private long bornMillis;
-    private long sequence;
+    private long orders = Holdings.UNKNOWN_ORDERS;
+    private long ordersHeardMillis;
     private final Map<ModelName, Set<String>> residents = new HashMap<>();
     private final Map<ModelName, Integer> inFlight = new HashMap<>();
     private Set<ModelName> inMemory = Set.of();
@@ -39,9 +45,12 @@
      * Creates the state of a replica that was just listed.
      *
      * @param listed what the list says, not null
+     * @param clock the monotonic clock, not null
      */
-    public ReplicaState(ListedReplica listed) {
+    public ReplicaState(ListedReplica listed, MonotonicClock clock) {
         this.listed = Objects.requireNonNull(listed, "listed");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.ordersHeardMillis = clock.millis() - LIST_LAG_MILLIS;
         restart(listed.holdings());
     }
 
@@ -70,38 +79,41 @@
         }
         inMemory = holdings.inMemory();
         onDisk = holdings.onDisk();
-        if (holdings.sequence() < sequence) {
+        if (holdings.orders() == Holdings.UNKNOWN_ORDERS) {
+            if (clock.millis() - ordersHeardMillis >= LIST_LAG_MILLIS) {
+                replaceResidents(holdings.residents());
+            }
             return;
         }
-        if (holdings.sequence() > sequence) {
-            sequence = holdings.sequence();
-            residents.clear();
-            loading = loading.filter(model -> !holdings.residents().containsKey(model));
+        if (holdings.orders() < orders) {
+            return;
         }
-        holdings.residents().forEach(this::addResident);
-        loading = loading.filter(model -> !residents.containsKey(model));
+        orders = holdings.orders();
+        ordersHeardMillis = clock.millis();
+        replaceResidents(holdings.residents());
     }
 
     /**
      * Takes what the holder of the order lease says.
      *
      * @param newBornMillis when the replica's process started, in Unix milliseconds
-     * @param newSequence the number of orders it has accepted
+     * @param newOrders the number of orders it has accepted
      * @param newResidents what it can run, not null
      * @param newLoading what it loads, not null
      * @param untilMillis when the load is expected to end, on the monotonic clock
      */
     public void onOrders(
             long newBornMillis,
-            long newSequence,
+            long newOrders,
             Map<ModelName, Set<String>> newResidents,
             Optional<ModelName> newLoading,
             long untilMillis) {
-        if (newBornMillis < bornMillis || newBornMillis == bornMillis && newSequence < sequence) {
+        if (newBornMillis < bornMillis || newBornMillis == bornMillis && newOrders < orders) {
             return;
         }
         bornMillis = newBornMillis;
-        sequence = newSequence;
+        orders = newOrders;
+        ordersHeardMillis = clock.millis();
         residents.clear();
         newResidents.forEach(this::addResident);
         loading = newLoading;
@@ -258,15 +270,15 @@
     /**
      * Returns the number of orders that the replica has accepted.
      *
-     * @return a count since its start
+     * @return a count since its start, {@link Holdings#UNKNOWN_ORDERS} until it was heard of
      */
-    public long sequence() {
-        return sequence;
+    public long orders() {
+        return orders;
     }
 
     private void restart(Holdings holdings) {
         bornMillis = holdings.bornMillis();
-        sequence = holdings.sequence();
+        orders = holdings.orders();
         residents.clear();
         holdings.residents().forEach(this::addResident);
         inMemory = holdings.inMemory();
@@ -274,6 +286,12 @@
         loading = Optional.empty();
     }
 
+    private void replaceResidents(Map<ModelName, Set<String>> newResidents) {
+        residents.clear();
+        newResidents.forEach(this::addResident);
+        loading = loading.filter(model -> !residents.containsKey(model));
+    }
+
     private void addResident(ModelName model, Set<String> adapters) {
         residents.merge(model, new HashSet<>(adapters), ReplicaState::union);
     }
