--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -85,6 +85,8 @@
     REPLICA_DRAINING(411, Logger.Level.INFO, "replica %s of service %s is draining"),
     /** A replica is gone from the list. */
     REPLICA_GONE(412, Logger.Level.INFO, "replica %s is gone from the list"),
+    /** What is believed of a replica changed. */
+    REPLICA_BELIEF(414, Logger.Level.INFO, "replica %s holds %s, loads %s, orders %s, by its %s"),
     /** An entry of the list could not be used. */
     LIST_ENTRY_INVALID(413, Logger.Level.WARN, "object %s is ignored: field \"%s\" %s"),
     /** An order got its reply. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
@@ -66,7 +68,7 @@
             if (listed.draining() && !known.listed().draining()) {
                 LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service());
             }
-            known.onListed(listed);
+            update(known, "list entry", () -> known.onListed(listed));
         }
         changed();
     }
@@ -91,16 +93,40 @@
     public void onNotice(PeerMessage.ReplicaNotice notice) {
         ReplicaState replica = replicas.get(notice.replica());
         if (replica != null) {
-            replica.onOrders(
-                    notice.bornMillis(),
-                    notice.sequence(),
-                    notice.residents(),
-                    notice.loading(),
-                    clock.millis() + notice.loadingMillis());
+            update(
+                    replica,
+                    "orders",
+                    () -> replica.onOrders(
+                            notice.bornMillis(),
+                            notice.sequence(),
+                            notice.residents(),
+                            notice.loading(),
+                            clock.millis() + notice.loadingMillis()));
             changed();
         }
     }
 
+    /**
+     * Changes what is believed of a replica, and logs the change if there is one.
+     *
+     * @param replica the replica, not null
+     * @param source where the news comes from, not null
+     * @param change takes the news, not null
+     */
+    public void update(ReplicaState replica, String source, Runnable change) {
+        Map<ModelName, Set<String>> before = replica.residents();
+        Optional<ModelName> loadingBefore = replica.loading();
+        change.run();
+        if (!before.equals(replica.residents()) || !loadingBefore.equals(replica.loading())) {
+            LogEvent.REPLICA_BELIEF.log(
+                    replica.id(),
+                    replica.residents(),
+                    replica.loading().map(ModelName::value).orElse("nothing"),
+                    replica.orders(),
+                    source);
+        }
+    }
+
     /** Tells the listeners that something may be possible now that was not before. */
     public void changed() {
         listeners.forEach(Runnable::run);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -254,7 +254,15 @@
             }
             residents.put(order.model(), adapters);
         }
-        replica.onOrders(replica.bornMillis(), replica.orders() + 1, residents, loading, clock.millis());
+        Optional<ModelName> newLoading = loading;
+        catalog.update(
+                replica,
+                "accepted order",
+                () -> replica.onOrders(
+                        replica.bornMillis(), replica.orders() + 1, residents, newLoading, clock.millis()));
+        if (!order.load() && order.adapter().isEmpty()) {
+            replica.onLeaving(order.model());
+        }
         announce(replica, Duration.ZERO);
     }
 
@@ -284,7 +292,7 @@
     private Uni<Void> refresh(ReplicaState replica) {
         return client.report(replica.listed())
                 .invoke(report -> {
-                    replica.onHoldings(report.holdings());
+                    catalog.update(replica, "report", () -> replica.onHoldings(report.holdings()));
                     announce(replica, Duration.ZERO);
                 })
                 .replaceWithVoid()
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -38,6 +38,7 @@
     private Set<ModelName> inMemory = Set.of();
     private Set<ModelName> onDisk = Set.of();
     private Optional<ModelName> loading = Optional.empty();
+    private Optional<ModelName> leaving = Optional.empty();
     private long loadingUntilMillis;
     private int totalInFlight;
 
@@ -80,17 +81,26 @@
         inMemory = holdings.inMemory();
         onDisk = holdings.onDisk();
         if (holdings.orders() == Holdings.UNKNOWN_ORDERS) {
-            if (clock.millis() - ordersHeardMillis >= LIST_LAG_MILLIS) {
-                replaceResidents(holdings.residents());
-            }
-            return;
-        }
-        if (holdings.orders() < orders) {
-            return;
+            onListedResidents(holdings.residents());
+        } else if (holdings.orders() > orders) {
+            orders = holdings.orders();
+            leaving = Optional.empty();
+            ordersHeardMillis = clock.millis();
+            replaceResidents(holdings.residents());
+        } else if (holdings.orders() == orders) {
+            ordersHeardMillis = clock.millis();
+            addResidents(holdings.residents());
         }
-        orders = holdings.orders();
-        ordersHeardMillis = clock.millis();
-        replaceResidents(holdings.residents());
+    }
+
+    /**
+     * Notes that the replica accepted an order to unload a model, which it may still name until its runs have ended.
+     *
+     * @param model the model, not null
+     */
+    public void onLeaving(ModelName model) {
+        leaving = Optional.of(model);
+        residents.remove(model);
     }
 
     /**
@@ -113,6 +123,7 @@
         }
         bornMillis = newBornMillis;
         orders = newOrders;
+        leaving = Optional.empty();
         ordersHeardMillis = clock.millis();
         residents.clear();
         newResidents.forEach(this::addResident);
@@ -284,6 +295,28 @@
         inMemory = holdings.inMemory();
         onDisk = holdings.onDisk();
         loading = Optional.empty();
+        leaving = Optional.empty();
+    }
+
+    private void onListedResidents(Map<ModelName, Set<String>> newResidents) {
+        if (clock.millis() - ordersHeardMillis < LIST_LAG_MILLIS) {
+            return;
+        }
+        if (loading.isPresent()) {
+            addResidents(newResidents);
+        } else {
+            replaceResidents(newResidents);
+        }
+    }
+
+    /** Adds what a load has completed; nothing else changes while the number of orders stays. */
+    private void addResidents(Map<ModelName, Set<String>> newResidents) {
+        newResidents.forEach((model, adapters) -> {
+            if (!leaving.equals(Optional.of(model))) {
+                addResident(model, adapters);
+            }
+        });
+        loading = loading.filter(model -> !residents.containsKey(model));
     }
 
     private void replaceResidents(Map<ModelName, Set<String>> newResidents) {
