Price evictions by running calls and rates; load adapters apart from models

Cause: rare models evicted busy ones and models whose runs had not ended, and loads from the weight store occupied most replicas during traffic. The planner now prices each eviction, may keep a busy replica for a model, fills free room from disk and fetches missing copies one at a time in traffic. Adapters have a queue of their own; streams end when their caller gives up.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -80,7 +80,7 @@
     /** A dependency is reached again or no longer reached. */
     DEPENDENCY_STATE(114, Logger.Level.WARN, "dependency %s reached=%s: %s"),
     /** A replica appeared in the list. */
-    REPLICA_LISTED(410, Logger.Level.INFO, "replica %s of service %s listed at %s"),
+    REPLICA_LISTED(410, Logger.Level.INFO, "replica %s of service %s listed at %s, holds %s, copies %s"),
     /** A replica is leaving. */
     REPLICA_DRAINING(411, Logger.Level.INFO, "replica %s of service %s is draining"),
     /** A replica is gone from the list. */
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -159,20 +159,20 @@
     }
 
     /**
-     * How much an entry needs a model or an adapter.
+     * How much an entry needs a model, or uses it on one replica.
      *
      * @param service the service whose replicas may hold it, not null
      * @param model the model, not null
-     * @param adapter the adapter, empty for the model itself
+     * @param replica the replica that runs calls, empty for calls that wait or arrived
      * @param waiting calls that wait until it is resident somewhere
-     * @param running calls on replicas
+     * @param running calls that the replica runs
      * @param arrivals calls that arrived since the sender's last report
      * @param slackMillis the time that the most urgent waiting call has left until its objective
      */
     record WeightDemand(
             String service,
             ModelName model,
-            String adapter,
+            Optional<UpstreamId> replica,
             int waiting,
             int running,
             int arrivals,
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/ServingCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/ServingCodec.java
@@ -77,7 +77,7 @@
         return new WireWeightDemand(
                 demand.service(),
                 demand.model().value(),
-                demand.adapter(),
+                demand.replica().map(UpstreamId::value).orElse(""),
                 demand.waiting(),
                 demand.running(),
                 demand.arrivals(),
@@ -88,7 +88,7 @@
         return new PeerMessage.WeightDemand(
                 wire.getServiceName(),
                 new ModelName(wire.getModel()),
-                wire.getAdapter(),
+                wire.getReplica().isEmpty() ? Optional.empty() : Optional.of(new UpstreamId(wire.getReplica())),
                 wire.getWaiting(),
                 wire.getRunning(),
                 wire.getArrivals(),
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -67,11 +67,11 @@
   4: required binary content
 }
 
-/** How much an entry needs a model or one of its adapters. */
+/** How much an entry needs a model, or with a replica named, how much it uses it there. */
 struct WireWeightDemand {
   1: required string serviceName
   2: required string model
-  3: required string adapter
+  3: required string replica
   4: required i32 waiting
   5: required i32 running
   6: required i32 arrivals
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -62,8 +62,14 @@
     public void put(ListedReplica listed) {
         ReplicaState known = replicas.get(listed.id());
         if (known == null) {
-            replicas.put(listed.id(), new ReplicaState(listed, clock));
-            LogEvent.REPLICA_LISTED.log(listed.id(), listed.service(), listed.address());
+            ReplicaState added = new ReplicaState(listed, clock);
+            replicas.put(listed.id(), added);
+            LogEvent.REPLICA_LISTED.log(
+                    listed.id(),
+                    listed.service(),
+                    listed.address(),
+                    added.residents().keySet(),
+                    added.copies());
         } else {
             if (listed.draining() && !known.listed().draining()) {
                 LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service());
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -176,8 +176,16 @@
             long keptMillis = Math.min(
                     head.deadline().orElse(route.get().timeout()).toMillis(),
                     route.get().timeout().toMillis());
-            forwarder.accept(
-                    new Exchange(request, head, route.get(), service, body, arrivedMillis, arrivedMillis + keptMillis));
+            long patienceMillis = Math.min(keptMillis, route.get().patience().toMillis());
+            forwarder.accept(new Exchange(
+                    request,
+                    head,
+                    route.get(),
+                    service,
+                    body,
+                    arrivedMillis,
+                    arrivedMillis + keptMillis,
+                    arrivedMillis + patienceMillis));
         });
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
@@ -43,6 +44,7 @@
     private final MonotonicClock clock;
     private final Timers timers;
     private boolean scheduled;
+    private boolean reportedNothing = true;
     private int idlePeriods;
     private Timers.Task ticking = () -> {};
 
@@ -91,16 +93,27 @@
         idlePeriods = 0;
         Map<ModelKey, Totals> totals = new HashMap<>();
         forwarder.takeArrivals().forEach((key, count) -> totals(totals, key).arrivals += count);
-        forwarder.running().forEach((key, count) -> totals(totals, key).running += count);
         for (WeightKey key : forwarder.waiting().keys()) {
             addWaiting(totals, key);
         }
-        if (totals.isEmpty()) {
-            return;
-        }
         List<PeerMessage.WeightDemand> demands = new ArrayList<>();
         totals.forEach((key, t) -> demands.add(new PeerMessage.WeightDemand(
-                key.service.value(), key.model, "", t.waiting, t.running, t.arrivals, t.slackMillis)));
+                key.service.value(), key.model, Optional.empty(), t.waiting, 0, t.arrivals, t.slackMillis)));
+        for (ReplicaState replica : catalog.all()) {
+            replica.inFlightByModel()
+                    .forEach((model, count) -> demands.add(new PeerMessage.WeightDemand(
+                            replica.listed().service().value(),
+                            model,
+                            Optional.of(replica.id()),
+                            0,
+                            count,
+                            0,
+                            Long.MAX_VALUE)));
+        }
+        if (demands.isEmpty() && reportedNothing) {
+            return;
+        }
+        reportedNothing = demands.isEmpty();
         mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(demands));
     }
 
@@ -131,7 +144,6 @@
     private static final class Totals {
 
         private int waiting;
-        private int running;
         private int arrivals;
         private long slackMillis = Long.MAX_VALUE;
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -24,7 +24,11 @@
     final Optional<WeightKey> weights;
     final Buffer body;
     final long arrivedMillis;
+    /** When the call must have ended. */
     final long endMillis;
+    /** When the caller gives up unless something has arrived. */
+    final long firstEventMillis;
+
     final Set<UpstreamId> avoided = new HashSet<>();
     final EventFramer framer = new EventFramer();
     HttpClientRequest current;
@@ -43,7 +47,8 @@
             ServiceName service,
             Buffer body,
             long arrivedMillis,
-            long endMillis) {
+            long endMillis,
+            long firstEventMillis) {
         this.request = request;
         this.head = head;
         this.route = route;
@@ -52,6 +57,7 @@
         this.body = body;
         this.arrivedMillis = arrivedMillis;
         this.endMillis = endMillis;
+        this.firstEventMillis = firstEventMillis;
     }
 
     /** Names the shared part of the prompt by which calls keep to a replica: the last one before the call's own. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -65,7 +65,6 @@
     private final Answers answers;
     private final WaitingCalls waiting = new WaitingCalls();
     private final Map<WeightKey, Integer> arrivals = new HashMap<>();
-    private final Map<WeightKey, Integer> running = new HashMap<>();
     private Runnable onWaiting = () -> {};
     private int inFlight;
 
@@ -128,11 +127,6 @@
         return taken;
     }
 
-    /** Returns the calls on replicas, by what they need. */
-    Map<WeightKey, Integer> running() {
-        return running;
-    }
-
     /** Takes a call whose body has arrived. */
     void accept(Exchange exchange) {
         inFlight++;
@@ -145,6 +139,14 @@
         dispatch(exchange);
     }
 
+    /** Ends a call at a time unless it has ended before. */
+    private void limitTo(Exchange exchange, long untilMillis) {
+        exchange.cancelTimer.run();
+        Timers.Task timeout =
+                timers.schedule(Duration.ofMillis(untilMillis - clock.millis()), () -> onTimeout(exchange));
+        exchange.cancelTimer = timeout::cancel;
+    }
+
     /** Tries all calls that wait. */
     void retryWaiting() {
         for (WeightKey key : waiting.keys()) {
@@ -158,7 +160,8 @@
         if (exchange.finished) {
             return;
         }
-        if (exchange.endMillis - clock.millis() < MIN_REMAINING_MILLIS) {
+        long untilMillis = exchange.answering ? exchange.endMillis : exchange.firstEventMillis;
+        if (untilMillis - clock.millis() < MIN_REMAINING_MILLIS) {
             refuse(exchange, "too little time is left");
             return;
         }
@@ -335,7 +338,6 @@
         void begin() {
             exchange.current = request;
             replica.callStarted(model());
-            exchange.weights.ifPresent(key -> running.merge(key, 1, Integer::sum));
             exchange.runs++;
             LogEvent.CALL_SENT.logForCall(
                     exchange.head.id(),
@@ -362,8 +364,6 @@
             }
             over = true;
             replica.callEnded(model());
-            exchange.weights.ifPresent(
-                    key -> running.computeIfPresent(key, (k, count) -> count == 1 ? null : count - 1));
             if (exchange.current == request) {
                 exchange.current = null;
             }
@@ -504,6 +504,7 @@
                 var response = exchange.request.response();
                 if (!exchange.answering) {
                     exchange.answering = true;
+                    limitTo(exchange, exchange.endMillis);
                     response.setStatusCode(answer.statusCode());
                     response.headers().setAll(codec.toCaller(answer.headers()));
                     answers.prepare(response);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -60,9 +60,9 @@
     private final MonotonicClock clock;
     private final Delays delays;
     private final Consumer<PeerMessage.ReplicaNotice> announcer;
-    private final Deque<PeerMessage.LoadRequest> queue = new ArrayDeque<>();
     private final Map<String, Integer> loadCounts = new HashMap<>();
-    private boolean running;
+    private final Lane models = new Lane();
+    private final Lane adapters = new Lane();
 
     ReplicaOrders(
             UpstreamId id,
@@ -83,43 +83,40 @@
         this.announcer = Objects.requireNonNull(announcer, "announcer");
     }
 
-    /** Takes a request unless the same one already waits. */
+    /** Takes a request unless the same one, or another model, already waits. */
     void request(PeerMessage.LoadRequest request, EngineSpec engine) {
-        boolean isKnown = queue.stream()
+        Lane lane = request.adapter().isEmpty() ? models : adapters;
+        boolean isKnown = lane.queue.stream()
                 .anyMatch(r -> r.model().equals(request.model()) && r.adapter().equals(request.adapter()));
-        boolean isModel = request.adapter().isEmpty();
-        boolean otherModelWaits =
-                isModel && queue.stream().anyMatch(r -> r.adapter().isEmpty());
-        if (isKnown || otherModelWaits) {
+        if (isKnown || lane == models && !models.queue.isEmpty()) {
             return;
         }
-        queue.addLast(request);
-        if (!running) {
-            next(engine);
+        lane.queue.addLast(request);
+        if (!lane.running) {
+            next(lane, engine);
         }
     }
 
-    private void next(EngineSpec engine) {
-        PeerMessage.LoadRequest request = queue.peekFirst();
+    private void next(Lane lane, EngineSpec engine) {
+        PeerMessage.LoadRequest request = lane.queue.peekFirst();
         ReplicaState replica = catalog.find(id).orElse(null);
         if (request == null || replica == null || !lease.isHeld()) {
-            queue.clear();
-            running = false;
+            lane.queue.clear();
+            lane.running = false;
             return;
         }
-        running = true;
-        Uni<Boolean> work = request.adapter().isEmpty()
-                ? loadModel(replica, request, engine)
-                : loadAdapter(replica, request, engine);
-        work.subscribe().with(done -> finished(engine), failure -> {
+        lane.running = true;
+        Uni<Boolean> work =
+                lane == models ? loadModel(replica, request, engine) : loadAdapter(replica, request, engine);
+        work.subscribe().with(done -> finished(lane, engine), failure -> {
             LogEvent.UNEXPECTED.log("orders to replica " + id, failure);
-            finished(engine);
+            finished(lane, engine);
         });
     }
 
-    private void finished(EngineSpec engine) {
-        queue.pollFirst();
-        next(engine);
+    private void finished(Lane lane, EngineSpec engine) {
+        lane.queue.pollFirst();
+        next(lane, engine);
     }
 
     private Uni<Boolean> loadModel(ReplicaState replica, PeerMessage.LoadRequest request, EngineSpec engine) {
@@ -135,7 +132,7 @@
                 return same(false);
             }
             ModelSpec spec = engine.models().get(request.model());
-            Duration expected = loadTime(replica, spec);
+            Duration expected = spec.loadTime(replica.tierOf(spec.name()));
             return order(replica, true, request.model(), "")
                     .flatMap(accepted -> accepted ? await(replica, spec, expected) : same(false));
         });
@@ -237,7 +234,7 @@
     /** Notes what the replica holds once it has accepted an order. */
     private void apply(ReplicaState replica, Order order) {
         Map<ModelName, Set<String>> residents = new HashMap<>(replica.residents());
-        Optional<ModelName> loading = Optional.empty();
+        Optional<ModelName> loading = order.adapter().isEmpty() ? Optional.empty() : replica.loading();
         if (order.adapter().isEmpty()) {
             if (order.load()) {
                 loading = Optional.of(order.model());
@@ -259,7 +256,11 @@
                 replica,
                 "accepted order",
                 () -> replica.onOrders(
-                        replica.bornMillis(), replica.orders() + 1, residents, newLoading, clock.millis()));
+                        replica.bornMillis(),
+                        replica.orders() + 1,
+                        residents,
+                        newLoading,
+                        replica.loadingUntilMillis()));
         if (!order.load() && order.adapter().isEmpty()) {
             replica.onLeaving(order.model());
         }
@@ -327,14 +328,6 @@
         return used + spec.weightsMegabytes() <= engine.modelMegabytes();
     }
 
-    private static Duration loadTime(ReplicaState replica, ModelSpec spec) {
-        return switch (replica.tierOf(spec.name())) {
-            case MEMORY -> spec.loadFromMemory();
-            case DISK -> spec.loadFromDisk();
-            default -> spec.loadFromStore();
-        };
-    }
-
     private static Uni<Boolean> same(boolean value) {
         return Uni.createFrom().item(value);
     }
@@ -342,4 +335,11 @@
     private static Uni<Optional<Boolean>> ended(boolean value) {
         return Uni.createFrom().item(Optional.of(value));
     }
+
+    /** Requests that are carried out one after another; loads of adapters do not wait for loads of models. */
+    private static final class Lane {
+
+        private final Deque<PeerMessage.LoadRequest> queue = new ArrayDeque<>();
+        private boolean running;
+    }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
@@ -10,6 +10,7 @@
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.PeerMessage.WeightDemand;
 import org.tarragonring.policy.placement.ModelNeed;
 import org.tarragonring.time.MonotonicClock;
@@ -84,10 +85,26 @@
         return needs;
     }
 
+    /**
+     * Returns the calls of all entries that replicas run.
+     *
+     * @return counts by replica and model
+     */
+    public Map<UpstreamId, Map<ModelName, Integer>> running() {
+        Map<UpstreamId, Map<ModelName, Integer>> running = new HashMap<>();
+        for (Report report : reports.values()) {
+            for (WeightDemand demand : report.demands) {
+                demand.replica()
+                        .ifPresent(replica -> running.computeIfAbsent(replica, id -> new HashMap<>())
+                                .merge(demand.model(), demand.running(), Integer::sum));
+            }
+        }
+        return running;
+    }
+
     private static ModelNeed need(WeightDemand demand, long ageMillis) {
-        int waiting = demand.adapter().isEmpty() ? demand.waiting() : 0;
-        long slackMillis = waiting > 0 ? demand.slackMillis() - ageMillis : Long.MAX_VALUE;
-        return new ModelNeed(demand.model(), waiting, demand.running(), 0, slackMillis);
+        long slackMillis = demand.waiting() > 0 ? demand.slackMillis() - ageMillis : Long.MAX_VALUE;
+        return new ModelNeed(demand.model(), demand.waiting(), demand.running(), 0, slackMillis);
     }
 
     private static ModelNeed sum(ModelNeed first, ModelNeed second) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -1,7 +1,6 @@
 package org.tarragonring.gateway.planning;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +23,7 @@
 import org.tarragonring.policy.placement.ModelNeed;
 import org.tarragonring.policy.placement.PlacementMove;
 import org.tarragonring.policy.placement.PlacementPlanner;
+import org.tarragonring.policy.placement.ReplicaView;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
@@ -46,7 +46,7 @@
     private static final Duration PERIOD = Duration.ofMillis(100);
 
     /** How long a decided load counts as under way without a word of the replica's orders. */
-    private static final Duration DECISION_LIFETIME = Duration.ofMillis(700);
+    private static final Duration DECISION_LIFETIME = Duration.ofMillis(2_000);
 
     private final EntryId self;
     private final Mesh mesh;
@@ -123,25 +123,32 @@
 
     private void plan(ServiceName service, EngineSpec engine) {
         long now = clock.millis();
-        decided.values().removeIf(d -> now >= d.untilMillis);
-        Map<ReplicaState, ModelName> underWay = new HashMap<>();
-        Collection<ReplicaState> replicas = catalog.usable(service).stream()
-                .filter(replica -> authority.holderOf(replica.id()).isPresent())
+        decided.values().removeIf(decision -> now >= decision.untilMillis);
+        Map<UpstreamId, Map<ModelName, Integer>> running = book.running();
+        List<ReplicaView> views = catalog.usable(service).stream()
+                .map(replica -> view(replica, running.getOrDefault(replica.id(), Map.of()), now))
                 .toList();
-        for (ReplicaState replica : replicas) {
-            replica.loading().ifPresent(model -> underWay.put(replica, model));
-            Decided decision = decided.get(replica.id());
-            if (decision != null && replica.holds(decision.model, "")) {
-                decided.remove(replica.id());
-            } else if (decision != null) {
-                underWay.putIfAbsent(replica, decision.model);
-            }
-        }
         Map<ModelName, ModelNeed> needs = book.needs(service);
-        List<PlacementMove> moves = new PlacementPlanner(engine).plan(replicas, needs, underWay, true);
+        List<PlacementMove> moves = new PlacementPlanner(engine).plan(views, needs);
         moves.forEach(move -> start(move, needs));
     }
 
+    private ReplicaView view(ReplicaState replica, Map<ModelName, Integer> running, long now) {
+        Decided decision = decided.get(replica.id());
+        if (decision != null && replica.holds(decision.model, "")) {
+            decided.remove(replica.id());
+            decision = null;
+        }
+        Optional<ModelName> underWay = replica.loading();
+        long freeInMillis = underWay.isPresent() ? Math.max(0, replica.loadingUntilMillis() - now) : 0;
+        if (underWay.isEmpty() && decision != null) {
+            underWay = Optional.of(decision.model);
+            freeInMillis = decision.untilMillis - now;
+        }
+        boolean orderable = authority.holderOf(replica.id()).isPresent();
+        return new ReplicaView(replica, running, underWay, freeInMillis, orderable);
+    }
+
     private void start(PlacementMove move, Map<ModelName, ModelNeed> needs) {
         int waiting = Optional.ofNullable(needs.get(move.model()))
                 .map(ModelNeed::waiting)
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ModelSpec.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ModelSpec.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import org.tarragonring.ids.ModelName;
+import org.tarragonring.upstream.CheckpointTier;
 
 /**
  * Tells a model's size and how long its loads take.
@@ -31,4 +32,18 @@
         Objects.requireNonNull(loadFromDisk, "loadFromDisk");
         Objects.requireNonNull(loadFromMemory, "loadFromMemory");
     }
+
+    /**
+     * Returns how long a load takes.
+     *
+     * @param tier from where the replica loads, not null
+     * @return the time that the configuration gives
+     */
+    public Duration loadTime(CheckpointTier tier) {
+        return switch (tier) {
+            case MEMORY -> loadFromMemory;
+            case DISK -> loadFromDisk;
+            default -> loadFromStore;
+        };
+    }
 }
--- /dev/null
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
@@ -0,0 +1,96 @@
+package org.tarragonring.policy.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+import org.tarragonring.ids.ModelName;
+
+/**
+ * Estimates what it costs callers when a replica gives up a model, as milliseconds of waiting.
+ *
+ * <p>An unload waits for the calls that the replica runs. A model that is gone from its last replica makes the calls
+ * that ask for it meanwhile miss their objective.
+ */
+final class EvictionPrices {
+
+    /** The price of a model that calls wait for: above that of any load, so that it is never chosen. */
+    static final double NEVER = 1_000_000;
+
+    /** Calls at one replica above which a model gets another one. */
+    private static final double CALLS_PER_REPLICA = 7;
+
+    /** The rate above which a model has two replicas, so that losing one costs no call its objective. */
+    private static final double RATE_FOR_TWO = 1.5;
+
+    /** How long a model is away that is called again right after its eviction: an unload and a load from disk. */
+    private static final double ABSENCE_SECONDS = 1.5;
+
+    /** What a call that misses its objective counts, as waiting. */
+    private static final double MISSED_CALL_MILLIS = 3_000;
+
+    /** What losing one of several replicas costs for each call a second, as waiting. */
+    private static final double CROWDING_MILLIS = 400;
+
+    /** Bounds of the time that an unload waits for a run. */
+    private static final double MIN_RUN_MILLIS = 300;
+
+    private static final double MAX_RUN_MILLIS = 4_000;
+
+    private final Map<ModelName, ModelNeed> needs;
+    private final Map<ModelName, Integer> copies = new HashMap<>();
+
+    EvictionPrices(Iterable<ReplicaView> replicas, Map<ModelName, ModelNeed> needs) {
+        this.needs = Objects.requireNonNull(needs, "needs");
+        for (ReplicaView replica : replicas) {
+            replica.state().residents().keySet().forEach(model -> copies.merge(model, 1, Integer::sum));
+        }
+    }
+
+    /** Returns how many replicas can run a model. */
+    int copies(ModelName model) {
+        return copies.getOrDefault(model, 0);
+    }
+
+    /** Counts a model as gone from one replica. */
+    void remove(ModelName model) {
+        copies.computeIfPresent(model, (key, count) -> count <= 1 ? null : count - 1);
+    }
+
+    /** Returns how much all entries need a model. */
+    ModelNeed need(ModelName model) {
+        return needs.getOrDefault(model, ModelNeed.none(model));
+    }
+
+    /** Returns how many replicas a model should have. */
+    int wantedCopies(ModelName model) {
+        ModelNeed need = need(model);
+        int byCalls = (int) Math.ceil((need.running() + need.waiting()) / CALLS_PER_REPLICA);
+        int byRate = need.callsPerSecond() >= RATE_FOR_TWO ? 2 : 0;
+        return Math.max(byCalls, byRate);
+    }
+
+    /** Returns what giving up a model on a replica costs. */
+    double priceOf(ReplicaView replica, ModelName model) {
+        ModelNeed need = need(model);
+        double price = runMillis(replica, model, need);
+        int left = copies(model) - 1;
+        if (left <= 0) {
+            if (need.waiting() > 0) {
+                return NEVER;
+            }
+            return price + need.callsPerSecond() * ABSENCE_SECONDS * MISSED_CALL_MILLIS;
+        }
+        double crowding = left < wantedCopies(model) ? 2 : 1;
+        return price + crowding * need.callsPerSecond() * CROWDING_MILLIS / left;
+    }
+
+    /** Returns how long an unload waits for the calls that the replica runs, by the mean length of a run. */
+    private static double runMillis(ReplicaView replica, ModelName model, ModelNeed need) {
+        if (replica.running(model) == 0) {
+            return 0;
+        }
+        double meanMillis = 1_000 * need.running() / Math.max(need.callsPerSecond(), 0.05);
+        return Math.max(MIN_RUN_MILLIS, Math.min(MAX_RUN_MILLIS, meanMillis));
+    }
+}
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementMove.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementMove.java
@@ -35,6 +35,8 @@
         WAITING_CALLS,
         /** Its replicas run more calls than they should. */
         BUSY_MODEL,
+        /** The replica has room for it that nothing uses. */
+        FREE_ROOM,
         /** No replica has a copy of it, so that a first call would wait for the weight store. */
         NO_COPY
     }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -4,10 +4,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -21,27 +21,24 @@
  * Decides which models to load where, from what the replicas hold and what all entries need.
  *
  * <p>First come models that calls wait for, the most urgent first, each on the replica where it is there soonest and
- * displaces the least. Then busy models get further replicas. What is left of the weight store's speed fetches models of
- * which no replica has a copy, so that their first call finds one on a disk.
+ * displaces the least. Then busy models get further replicas and room that is free is filled. What is left of the weight
+ * store's speed fetches models of which no replica has a copy, so that their first call finds one on a disk.
  *
  * @since 0.2.0
  */
 public final class PlacementPlanner {
 
-    /** Calls that a replica runs of one model before another replica gets the model too. */
-    static final int CALLS_PER_REPLICA = 10;
-
     /** The weight store's loads that run at full speed; more of them slow each other down. */
     static final int MAX_STORE_LOADS = 4;
 
-    /** How long an unload waits on average for a call that the replica runs. */
-    private static final Duration RUN_TIME = Duration.ofMillis(600);
+    /** The store's loads for later calls while there is traffic: each keeps a replica from swapping for seconds. */
+    static final int MAX_STORE_LOADS_IN_TRAFFIC = 1;
 
-    /** The price of evicting the only replica of a model that is called once a second. */
-    private static final double MILLIS_PER_CALL_RATE = 2_000;
+    /** The rate of calls below which the replicas count as idle. */
+    private static final double QUIET_CALLS_PER_SECOND = 0.5;
 
-    /** The price of evicting a model that calls wait for or that is about to serve them. */
-    private static final double NEEDED_PRICE_MILLIS = 20_000;
+    /** The most that evictions for something else than waiting calls may cost, as waiting. */
+    private static final double MAX_PRICE_AHEAD = 700;
 
     private final EngineSpec engine;
 
@@ -51,190 +48,188 @@
      * @param engine what its replicas can hold, not null
      */
     public PlacementPlanner(EngineSpec engine) {
-        this.engine = engine;
+        this.engine = Objects.requireNonNull(engine, "engine");
     }
 
     /**
      * Decides the next loads.
      *
-     * @param replicas the replicas that may be ordered now, those that load included; not null
+     * @param replicas the replicas that may get work, not null
      * @param needs what entries need, by model; not null
-     * @param isBusy tells the replicas that have an order or a decided load under way, by id, with the model; not null
-     * @param mayPrefetch whether models without a copy may be fetched before anybody calls them
      * @return the loads, at most one for each replica
      */
-    public List<PlacementMove> plan(
-            Collection<ReplicaState> replicas,
-            Map<ModelName, ModelNeed> needs,
-            Map<ReplicaState, ModelName> isBusy,
-            boolean mayPrefetch) {
-        Round round = new Round(replicas, needs, isBusy);
+    public List<PlacementMove> plan(Collection<ReplicaView> replicas, Map<ModelName, ModelNeed> needs) {
+        Round round = new Round(replicas, needs);
         round.serveWaitingCalls();
         round.spreadBusyModels();
-        if (mayPrefetch) {
-            round.fetchMissingCopies();
-        }
+        round.fillFreeRoom();
+        round.fetchMissingCopies();
         return round.moves;
     }
 
-    /** Returns the expected time of a load. */
-    Duration loadTime(ReplicaState replica, ModelName model) {
+    private Duration loadTime(ReplicaState replica, ModelName model) {
+        return engine.models().get(model).loadTime(replica.tierOf(model));
+    }
+
+    private double megabytes(ModelName model) {
         ModelSpec spec = engine.models().get(model);
-        return switch (replica.tierOf(model)) {
-            case MEMORY -> spec.loadFromMemory();
-            case DISK -> spec.loadFromDisk();
-            default -> spec.loadFromStore();
-        };
+        return spec == null ? 0 : spec.weightsMegabytes();
     }
 
     /** One round of decisions. */
     private final class Round {
 
-        private final List<ReplicaState> free = new ArrayList<>();
-        private final Collection<ReplicaState> replicas;
+        private final List<ReplicaView> candidates = new ArrayList<>();
+        private final Collection<ReplicaView> replicas;
         private final Map<ModelName, ModelNeed> needs;
-        private final Map<ModelName, Integer> residentCounts = new HashMap<>();
+        private final EvictionPrices prices;
         private final Set<ModelName> coming = new HashSet<>();
         private final List<PlacementMove> moves = new ArrayList<>();
         private int storeLoads;
 
-        Round(Collection<ReplicaState> replicas, Map<ModelName, ModelNeed> needs, Map<ReplicaState, ModelName> busy) {
+        Round(Collection<ReplicaView> replicas, Map<ModelName, ModelNeed> needs) {
             this.replicas = replicas;
             this.needs = needs;
-            for (ReplicaState replica : replicas) {
-                replica.residents().keySet().forEach(model -> residentCounts.merge(model, 1, Integer::sum));
-                ModelName underWay = busy.get(replica);
-                if (underWay == null) {
-                    free.add(replica);
-                } else {
-                    coming.add(underWay);
-                    storeLoads += replica.tierOf(underWay) == CheckpointTier.REMOTE ? 1 : 0;
+            this.prices = new EvictionPrices(replicas, needs);
+            for (ReplicaView replica : replicas) {
+                if (replica.orderable()) {
+                    candidates.add(replica);
                 }
+                replica.underWay().ifPresent(model -> {
+                    coming.add(model);
+                    storeLoads += replica.state().tierOf(model) == CheckpointTier.REMOTE ? 1 : 0;
+                });
             }
         }
 
         void serveWaitingCalls() {
-            needs.values().stream()
-                    .filter(need -> need.waiting() > 0 && engine.models().containsKey(need.model()))
-                    .filter(need -> !residentCounts.containsKey(need.model()) && !coming.contains(need.model()))
-                    .sorted(Comparator.comparingLong(ModelNeed::slackMillis))
-                    .toList()
-                    .forEach(need -> load(need.model(), PlacementMove.Reason.WAITING_CALLS));
+            known(needs.values().stream()
+                            .filter(need -> need.waiting() > 0 && prices.copies(need.model()) == 0)
+                            .sorted(Comparator.comparingLong(ModelNeed::slackMillis))
+                            .map(ModelNeed::model)
+                            .toList())
+                    .forEach(model -> load(model, PlacementMove.Reason.WAITING_CALLS, EvictionPrices.NEVER));
         }
 
         void spreadBusyModels() {
-            needs.values().stream()
-                    .filter(need -> engine.models().containsKey(need.model()) && !coming.contains(need.model()))
-                    .filter(need -> {
-                        int residents = residentCounts.getOrDefault(need.model(), 0);
-                        return residents > 0
-                                && need.running() + need.waiting() > CALLS_PER_REPLICA * residents
-                                && residents < replicas.size();
-                    })
-                    .sorted(Comparator.comparingInt((ModelNeed need) -> -need.running() - need.waiting()))
-                    .toList()
-                    .forEach(need -> load(need.model(), PlacementMove.Reason.BUSY_MODEL));
+            known(needs.keySet().stream()
+                            .filter(model -> prices.copies(model) < prices.wantedCopies(model))
+                            .sorted(Comparator.comparingDouble(
+                                    (ModelName model) -> -prices.need(model).callsPerSecond()))
+                            .toList())
+                    .forEach(model -> load(model, PlacementMove.Reason.BUSY_MODEL, MAX_PRICE_AHEAD));
+        }
+
+        /** Loads what a replica has at hand into room that nothing uses, the most called models first. */
+        void fillFreeRoom() {
+            for (ReplicaView replica : List.copyOf(candidates)) {
+                if (!replica.isFree()) {
+                    continue;
+                }
+                known(replica.state().copies().stream()
+                                .filter(model -> prices.copies(model) == 0)
+                                .sorted(Comparator.comparingDouble((ModelName model) ->
+                                                -prices.need(model).callsPerSecond())
+                                        .thenComparing(ModelName::value))
+                                .toList())
+                        .stream()
+                        .filter(model -> room(replica) >= megabytes(model))
+                        .findFirst()
+                        .ifPresent(model ->
+                                decide(new Spot(replica, List.of(), 0), model, PlacementMove.Reason.FREE_ROOM));
+            }
         }
 
         void fetchMissingCopies() {
+            double callsPerSecond = needs.values().stream()
+                    .mapToDouble(ModelNeed::callsPerSecond)
+                    .sum();
+            int most = callsPerSecond < QUIET_CALLS_PER_SECOND ? MAX_STORE_LOADS : MAX_STORE_LOADS_IN_TRAFFIC;
             Set<ModelName> missing = new HashSet<>(engine.models().keySet());
             replicas.forEach(replica -> {
-                missing.removeAll(replica.residents().keySet());
-                missing.removeAll(replica.copies());
+                missing.removeAll(replica.state().residents().keySet());
+                missing.removeAll(replica.state().copies());
             });
-            missing.removeAll(coming);
-            List<ModelName> ordered = missing.stream()
-                    .sorted(Comparator.comparingDouble((ModelName m) -> -need(m).callsPerSecond())
-                            .thenComparing(ModelName::value))
+            known(missing.stream()
+                            .sorted(Comparator.comparingDouble((ModelName model) ->
+                                            -prices.need(model).callsPerSecond())
+                                    .thenComparing(ModelName::value))
+                            .toList())
+                    .forEach(model -> {
+                        if (storeLoads < most) {
+                            load(model, PlacementMove.Reason.NO_COPY, MAX_PRICE_AHEAD);
+                        }
+                    });
+        }
+
+        private List<ModelName> known(List<ModelName> models) {
+            return models.stream()
+                    .filter(model -> engine.models().containsKey(model) && !coming.contains(model))
                     .toList();
-            for (ModelName model : ordered) {
-                if (storeLoads >= MAX_STORE_LOADS) {
-                    return;
-                }
-                load(model, PlacementMove.Reason.NO_COPY);
-            }
         }
 
-        private void load(ModelName model, PlacementMove.Reason reason) {
-            Spot best = null;
-            for (ReplicaState replica : free) {
-                if (replica.holds(model, "")) {
-                    continue;
+        /** Chooses the replica where a model is there soonest; if that one is not free yet, it is kept for the model. */
+        private void load(ModelName model, PlacementMove.Reason reason, double maxPrice) {
+            Optional<Spot> best = candidates.stream()
+                    .filter(replica -> !replica.state().holds(model, ""))
+                    .flatMap(replica -> spot(replica, model, maxPrice).stream())
+                    .min(Comparator.comparingDouble(Spot::costMillis));
+            best.ifPresent(spot -> {
+                if (spot.replica.isFree()) {
+                    decide(spot, model, reason);
+                } else if (reason == PlacementMove.Reason.WAITING_CALLS) {
+                    candidates.remove(spot.replica);
+                    coming.add(model);
                 }
-                Optional<Spot> option = option(replica, model, reason);
-                if (option.isPresent() && (best == null || option.get().costMillis < best.costMillis)) {
-                    best = option.get();
-                }
-            }
-            if (best == null) {
-                return;
-            }
-            CheckpointTier tier = best.replica.tierOf(model);
+            });
+        }
+
+        private void decide(Spot spot, ModelName model, PlacementMove.Reason reason) {
+            CheckpointTier tier = spot.replica.state().tierOf(model);
             storeLoads += tier == CheckpointTier.REMOTE ? 1 : 0;
-            free.remove(best.replica);
+            candidates.remove(spot.replica);
             coming.add(model);
-            best.evict.forEach(evicted -> residentCounts.merge(evicted, -1, Integer::sum));
-            residentCounts.values().removeIf(count -> count <= 0);
-            moves.add(new PlacementMove(best.replica.id(), model, best.evict, tier, reason));
+            spot.evict.forEach(prices::remove);
+            moves.add(new PlacementMove(spot.replica.state().id(), model, spot.evict, tier, reason));
         }
 
         /** Finds what must make room on a replica, cheapest first, and what that and the load cost. */
-        private Optional<Spot> option(ReplicaState replica, ModelName model, PlacementMove.Reason reason) {
-            double wanted = engine.models().get(model).weightsMegabytes();
-            double room = engine.modelMegabytes();
-            for (ModelName resident : replica.residents().keySet()) {
-                room -= megabytes(resident);
-            }
+        private Optional<Spot> spot(ReplicaView replica, ModelName model, double maxPrice) {
+            double wanted = megabytes(model);
+            double room = room(replica);
+            double price = 0;
             List<ModelName> evict = new ArrayList<>();
-            double costMillis = loadTime(replica, model).toMillis();
-            List<ModelName> cheapestFirst = replica.residents().keySet().stream()
-                    .sorted(Comparator.comparingDouble((ModelName m) -> evictionPrice(replica, m))
+            List<ModelName> cheapestFirst = replica.state().residents().keySet().stream()
+                    .sorted(Comparator.comparingDouble((ModelName m) -> prices.priceOf(replica, m))
                             .thenComparing(ModelName::value))
                     .toList();
             for (ModelName victim : cheapestFirst) {
                 if (room >= wanted) {
                     break;
                 }
-                double price = evictionPrice(replica, victim);
-                if (reason != PlacementMove.Reason.WAITING_CALLS && price >= NEEDED_PRICE_MILLIS / 2) {
-                    return Optional.empty();
-                }
                 evict.add(victim);
                 room += megabytes(victim);
-                costMillis += price;
+                price += prices.priceOf(replica, victim);
             }
-            if (room < wanted) {
+            if (room < wanted || price >= maxPrice) {
                 return Optional.empty();
             }
-            costMillis += replica.copies().size();
+            double costMillis = replica.freeInMillis()
+                    + loadTime(replica.state(), model).toMillis()
+                    + price
+                    + replica.state().residents().size();
             return Optional.of(new Spot(replica, evict, costMillis));
         }
 
-        private double evictionPrice(ReplicaState replica, ModelName model) {
-            ModelNeed need = need(model);
-            int residents = Math.max(1, residentCounts.getOrDefault(model, 1));
-            double price = MILLIS_PER_CALL_RATE * need.callsPerSecond() / residents;
-            if (replica.inFlight(model) > 0 || need.running() > 0 && residents == 1) {
-                price += RUN_TIME.toMillis();
-            }
-            if (residents == 1 && need.waiting() > 0) {
-                price += NEEDED_PRICE_MILLIS;
+        private double room(ReplicaView replica) {
+            double used =
+                    replica.underWay().map(PlacementPlanner.this::megabytes).orElse(0.0);
+            for (ModelName resident : replica.state().residents().keySet()) {
+                used += megabytes(resident);
             }
-            if (need.running() + need.waiting() > CALLS_PER_REPLICA * (residents - 1) && need.callsPerSecond() >= 1) {
-                price += NEEDED_PRICE_MILLIS;
-            }
-            return price;
-        }
-
-        private ModelNeed need(ModelName model) {
-            return needs.getOrDefault(model, ModelNeed.none(model));
-        }
-
-        private double megabytes(ModelName model) {
-            ModelSpec spec = engine.models().get(model);
-            return spec == null ? 0 : spec.weightsMegabytes();
+            return engine.modelMegabytes() - used;
         }
     }
 
-    private record Spot(ReplicaState replica, List<ModelName> evict, double costMillis) {}
+    private record Spot(ReplicaView replica, List<ModelName> evict, double costMillis) {}
 }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -123,7 +123,7 @@
         }
         bornMillis = newBornMillis;
         orders = newOrders;
-        leaving = Optional.empty();
+        leaving = leaving.filter(model -> !newLoading.equals(Optional.of(model)) && !newResidents.containsKey(model));
         ordersHeardMillis = clock.millis();
         residents.clear();
         newResidents.forEach(this::addResident);
@@ -269,6 +269,15 @@
         return inFlight.getOrDefault(model, 0);
     }
 
+    /**
+     * Returns the calls of this entry that the replica runs, by model.
+     *
+     * @return counts
+     */
+    public Map<ModelName, Integer> inFlightByModel() {
+        return Map.copyOf(inFlight);
+    }
+
     /**
      * Returns when the replica's process started.
      *
