--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -47,10 +47,10 @@
     private static final Duration UNKNOWN_PAUSE = Duration.ofMillis(400);
 
     /** How often one order is tried; the planner asks again for what is still wanted. */
-    private static final int MAX_TRIES = 25;
+    private static final int MAX_TRIES = 80;
 
     /** After this many conflicts the replica is asked for its state, since it may differ from what is known. */
-    private static final int TRIES_BEFORE_REPORT = 3;
+    private static final int TRIES_BEFORE_REPORT = 6;
 
     private final UpstreamId id;
     private final EntryId self;
@@ -283,7 +283,7 @@
                         () -> refresh(replica).map(done -> {
                             boolean isOver = replica.holds(spec.name(), "")
                                     || replica.loading().isEmpty()
-                                    || ++tries[0] > MAX_TRIES * 8
+                                    || ++tries[0] > MAX_TRIES * 4
                                     || catalog.find(id).isEmpty();
                             return isOver ? Optional.of(replica.holds(spec.name(), "")) : Optional.empty();
                         })));
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -37,6 +37,9 @@
     /** The rate of calls below which the replicas count as idle. */
     private static final double QUIET_CALLS_PER_SECOND = 0.5;
 
+    /** What a load from the weight store costs the other models, since the replica swaps nothing meanwhile. */
+    private static final double STORE_LOAD_BLOCKS_MILLIS = 10_000;
+
     /** The most that evictions for something else than waiting calls may cost, as waiting. */
     private static final double MAX_PRICE_AHEAD = 700;
 
@@ -172,6 +175,9 @@
         private void load(ModelName model, PlacementMove.Reason reason, double maxPrice) {
             Optional<Spot> best = candidates.stream()
                     .filter(replica -> !replica.state().holds(model, ""))
+                    .filter(replica -> reason != PlacementMove.Reason.BUSY_MODEL
+                            || replica.state().tierOf(model) != CheckpointTier.REMOTE
+                            || replica.state().residents().isEmpty())
                     .flatMap(replica -> spot(replica, model, maxPrice).stream())
                     .min(Comparator.comparingDouble(Spot::costMillis));
             best.ifPresent(spot -> {
@@ -214,6 +220,9 @@
             if (room < wanted || price >= maxPrice) {
                 return Optional.empty();
             }
+            if (replica.state().tierOf(model) == CheckpointTier.REMOTE) {
+                price += replica.state().residents().isEmpty() ? 0 : STORE_LOAD_BLOCKS_MILLIS;
+            }
             double costMillis = replica.freeInMillis()
                     + loadTime(replica.state(), model).toMillis()
                     + price
