Share renewals of an order lease, and keep unloaded adapters out

Cause: two orders renewed one lease at the same time; the second write met the first one's version and the holder believed the lease lost. Reports lag, so one brought an unloaded adapter back, and a replica was ordered a ninth (LIMIT). An unload of an idle adapter is answered 200 and counts as an order.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/ReplicaClient.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/ReplicaClient.java
@@ -40,7 +40,7 @@
     enum OrderReply {
         /** It is being carried out. */
         ACCEPTED,
-        /** It holds already. */
+        /** It holds already, or was an unload of an adapter that nothing uses and is done. */
         ALREADY_HOLDS,
         /** Another order is under way, or the expected number of orders differs. */
         CONFLICT,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
@@ -45,6 +45,9 @@
     private long fence;
     private long renewals;
 
+    /** The renewal under way, which all orders that need it wait for; null if there is none. */
+    private Uni<Boolean> renewing;
+
     /**
      * Creates a lease that is not held.
      *
@@ -109,7 +112,17 @@
         if (lease.remainingMillis() > MIN_REMAINING_MILLIS) {
             return Uni.createFrom().item(true);
         }
-        return write(fence, version).map(done -> true).onFailure().recoverWithItem(this::onRenewalFailure);
+        if (renewing == null) {
+            renewing = write(fence, version)
+                    .map(done -> true)
+                    .onFailure()
+                    .recoverWithItem(this::onRenewalFailure)
+                    .onTermination()
+                    .invoke(() -> renewing = null)
+                    .memoize()
+                    .indefinitely();
+        }
+        return renewing;
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -204,6 +204,10 @@
                 return ended(true);
             }
             case ALREADY_HOLDS -> {
+                if (!order.adapter().isEmpty() && !order.load()) {
+                    apply(replica, order);
+                    return ended(true);
+                }
                 return refresh(replica).map(done -> Optional.of(true));
             }
             case CONFLICT -> {
--- /dev/null
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/HeldStore.java
@@ -0,0 +1,107 @@
+package org.tarragonring.gateway.orders;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.smallrye.mutiny.Uni;
+import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreException;
+import org.tarragonring.objects.StoredObject;
+import org.tarragonring.objects.WatchBatch;
+
+/** A store in memory whose writes can be held back or refused. */
+final class HeldStore implements ObjectStore {
+
+    private final Map<String, StoredObject> objects = new HashMap<>();
+    private final List<Runnable> held = new ArrayList<>();
+    private boolean holding;
+    private boolean reachable = true;
+    private long revision;
+    private int writes;
+
+    void holdWrites() {
+        holding = true;
+    }
+
+    void releaseWrites() {
+        holding = false;
+        List.copyOf(held).forEach(Runnable::run);
+        held.clear();
+    }
+
+    void setReachable(boolean isReachable) {
+        reachable = isReachable;
+    }
+
+    int writes() {
+        return writes;
+    }
+
+    @Override
+    public Uni<Optional<StoredObject>> read(String key) {
+        return Uni.createFrom().item(() -> {
+            requireReachable(key);
+            return Optional.ofNullable(objects.get(key));
+        });
+    }
+
+    @Override
+    public Uni<List<StoredObject>> list(String prefix) {
+        return Uni.createFrom()
+                .item(() -> objects.values().stream()
+                        .filter(object -> object.key().startsWith(prefix))
+                        .toList());
+    }
+
+    @Override
+    public Uni<Long> write(String key, long expectedVersion, byte[] value) {
+        return Uni.createFrom().emitter(emitter -> {
+            Runnable work = () -> {
+                try {
+                    emitter.complete(writeNow(key, expectedVersion, value));
+                } catch (StoreException e) {
+                    emitter.fail(e);
+                }
+            };
+            if (holding) {
+                held.add(work);
+            } else {
+                work.run();
+            }
+        });
+    }
+
+    @Override
+    public Uni<Void> delete(String key, long expectedVersion) {
+        return Uni.createFrom().item(() -> {
+            objects.remove(key);
+            return null;
+        });
+    }
+
+    @Override
+    public Uni<WatchBatch> watch(String prefix, long afterRevision, Duration wait) {
+        return Uni.createFrom().nothing();
+    }
+
+    private long writeNow(String key, long expectedVersion, byte[] value) {
+        requireReachable(key);
+        writes++;
+        long version = objects.containsKey(key) ? objects.get(key).version() : ABSENT_VERSION;
+        if (version != expectedVersion) {
+            throw new StoreException(StoreException.Kind.CONFLICT, "version of %s is %d".formatted(key, version));
+        }
+        objects.put(key, new StoredObject(key, ++revision, value));
+        return revision;
+    }
+
+    private void requireReachable(String key) {
+        if (!reachable) {
+            throw new StoreException(StoreException.Kind.UNAVAILABLE, "store is not reached for " + key);
+        }
+    }
+}
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -318,10 +318,13 @@
         }
     }
 
-    /** Adds what a load has completed; nothing else changes while the number of orders stays. */
+    /**
+     * Adds models whose load has completed. Adapters stay as the accepted orders left them, since a lagging report may
+     * still name one that was unloaded.
+     */
     private void addResidents(Map<ModelName, Set<String>> newResidents) {
         newResidents.forEach((model, adapters) -> {
-            if (!leaving.equals(Optional.of(model))) {
+            if (!leaving.equals(Optional.of(model)) && !residents.containsKey(model)) {
                 addResident(model, adapters);
             }
         });
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -51,6 +51,16 @@
         assertFalse(state.holds(RARE, ""));
     }
 
+    @Test
+    void lateReportDoesNotBringAnUnloadedAdapterBack() {
+        state.onHoldings(new Holdings(BORN, 1, Map.of(BUSY, Set.of("a1", "a2")), Set.of(), Set.of()));
+        state.onOrders(BORN, 2, Map.of(BUSY, Set.of("a2")), Optional.empty(), nowMillis);
+
+        state.onHoldings(new Holdings(BORN, 2, Map.of(BUSY, Set.of("a1", "a2")), Set.of(), Set.of()));
+
+        assertEquals(Map.of(BUSY, Set.of("a2")), state.residents());
+    }
+
     @Test
     void listIsIgnoredWhileNewsOfOrdersIsFresh() {
         state.onOrders(BORN, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
