Send orders only while all that a replica does is known

A report that says busy no longer settles what the replica holds. The check of room is repeated before each try. Adapter orders during a load of a model are refused by replicas, so they wait.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -121,7 +121,11 @@
         WeightKey base = new WeightKey(key.service(), key.model(), "");
         List<ReplicaState> holders = catalog.holding(base);
         if (!holders.isEmpty() && !key.adapter().isEmpty()) {
-            ReplicaState home = Rendezvous.rank(key.model() + "/" + key.adapter(), holders, r -> r.id().value())
+            List<ReplicaState> idle = holders.stream()
+                    .filter(replica -> replica.loading().isEmpty())
+                    .toList();
+            ReplicaState home = Rendezvous.rank(
+                            key.model() + "/" + key.adapter(), idle.isEmpty() ? holders : idle, r -> r.id().value())
                     .get(0);
             desk.request(new PeerMessage.LoadRequest(home.id(), key.model(), key.adapter(), List.of()));
             return;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
@@ -23,7 +24,6 @@
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ModelSpec;
-import org.tarragonring.policy.replica.ListedReplica.Holdings;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.Delays;
 import org.tarragonring.time.MonotonicClock;
@@ -40,17 +40,25 @@
  */
 final class ReplicaOrders {
 
-    /** The pause before an order is sent again that met another one under way or a run that still holds its model. */
-    private static final Duration CONFLICT_PAUSE = Duration.ofMillis(60);
+    /** The first pause before an order is sent again that met another one under way; it doubles up to the longest. */
+    private static final long FIRST_CONFLICT_PAUSE_MILLIS = 25;
+
+    private static final long MAX_CONFLICT_PAUSE_MILLIS = 200;
+
+    /** The pause between questions for the end of a load that takes longer than expected. */
+    private static final Duration LOAD_POLL = Duration.ofMillis(60);
 
     /** The pause before the replica is asked what became of an order without an answer. */
     private static final Duration UNKNOWN_PAUSE = Duration.ofMillis(400);
 
     /** How often one order is tried; the planner asks again for what is still wanted. */
-    private static final int MAX_TRIES = 80;
+    private static final int MAX_TRIES = 30;
+
+    /** How often a replica is asked whether a load that takes longer than expected has ended. */
+    private static final int MAX_LOAD_POLLS = 400;
 
     /** After this many conflicts the replica is asked for its state, since it may differ from what is known. */
-    private static final int TRIES_BEFORE_REPORT = 6;
+    private static final int TRIES_BEFORE_REPORT = 4;
 
     private final UpstreamId id;
     private final EntryId self;
@@ -61,6 +69,9 @@
     private final Delays delays;
     private final Consumer<PeerMessage.ReplicaNotice> announcer;
     private final Map<String, Integer> loadCounts = new HashMap<>();
+    /** The fencing number of the lease under which all that the replica holds and does is known, 0 if it is not. */
+    private long settledFence;
+
     private final Lane models = new Lane();
     private final Lane adapters = new Lane();
 
@@ -125,15 +136,16 @@
         }
         Uni<Boolean> steps = Uni.createFrom().item(true);
         for (ModelName victim : request.evict()) {
-            steps = steps.flatMap(ok -> ok && replica.holds(victim, "") ? order(replica, false, victim, "") : same(ok));
+            steps = steps.flatMap(
+                    ok -> ok && replica.holds(victim, "") ? order(replica, false, victim, "", () -> true) : same(ok));
         }
         return steps.flatMap(ok -> {
-            if (!ok || !fits(replica, request.model(), engine)) {
+            if (!ok) {
                 return same(false);
             }
             ModelSpec spec = engine.models().get(request.model());
             Duration expected = spec.loadTime(replica.tierOf(spec.name()));
-            return order(replica, true, request.model(), "")
+            return order(replica, true, request.model(), "", () -> fits(replica, request.model(), engine))
                     .flatMap(accepted -> accepted ? await(replica, spec, expected) : same(false));
         });
     }
@@ -143,9 +155,19 @@
         if (!replica.holds(model, "") || replica.holds(model, request.adapter())) {
             return same(true);
         }
-        int adapters = replica.residents().values().stream().mapToInt(Set::size).sum();
-        Uni<Boolean> room = adapters < engine.maxAdapters() ? same(true) : dropAdapter(replica);
-        return room.flatMap(ok -> ok ? order(replica, true, model, request.adapter()) : same(false));
+        Uni<Boolean> room = adapterCount(replica) < engine.maxAdapters() ? same(true) : dropAdapter(replica);
+        return room.flatMap(ok -> ok
+                ? order(
+                        replica,
+                        true,
+                        model,
+                        request.adapter(),
+                        () -> replica.holds(model, "") && adapterCount(replica) < engine.maxAdapters())
+                : same(false));
+    }
+
+    private static int adapterCount(ReplicaState replica) {
+        return replica.residents().values().stream().mapToInt(Set::size).sum();
     }
 
     /** Drops the adapter that was loaded longest ago. */
@@ -164,30 +186,52 @@
         if (oldest == null) {
             return same(false);
         }
-        return order(replica, false, oldestModel, oldest.substring(oldest.indexOf('/') + 1));
+        return order(replica, false, oldestModel, oldest.substring(oldest.indexOf('/') + 1), () -> true);
     }
 
-    /** Sends one order until the replica accepts it or refuses it for good. */
-    private Uni<Boolean> order(ReplicaState replica, boolean load, ModelName model, String adapter) {
-        int[] tries = {0};
-        return delays.until(CONFLICT_PAUSE, () -> attempt(replica, load, model, adapter, ++tries[0]));
+    /** Sends one order until the replica accepts it or refuses it for good, or a condition no longer holds. */
+    private Uni<Boolean> order(
+            ReplicaState replica, boolean load, ModelName model, String adapter, BooleanSupplier condition) {
+        return attempt(replica, load, model, adapter, condition, 1);
     }
 
-    private Uni<Optional<Boolean>> attempt(
-            ReplicaState replica, boolean load, ModelName model, String adapter, int tries) {
+    private Uni<Boolean> attempt(
+            ReplicaState replica, boolean load, ModelName model, String adapter, BooleanSupplier condition, int tries) {
         if (tries > MAX_TRIES || !lease.isHeld() || catalog.find(id).isEmpty()) {
-            return ended(false);
-        }
-        if (holdsAlready(replica, load, model, adapter)) {
-            return ended(true);
+            return same(false);
         }
-        if (replica.orders() == Holdings.UNKNOWN_ORDERS) {
-            return refresh(replica).map(done -> Optional.empty());
+        Uni<Optional<Boolean>> result;
+        if (!isSettled()) {
+            result = refresh(replica).map(done -> Optional.empty());
+        } else if (holdsAlready(replica, load, model, adapter)) {
+            return same(true);
+        } else if (!condition.getAsBoolean()) {
+            return same(false);
+        } else if (!adapter.isEmpty() && replica.loading().isPresent()) {
+            result = Uni.createFrom().item(Optional.empty());
+        } else {
+            result = send(replica, load, model, adapter, tries);
         }
+        long pauseMillis = Math.min(MAX_CONFLICT_PAUSE_MILLIS, FIRST_CONFLICT_PAUSE_MILLIS << Math.min(tries - 1, 10));
+        return result.flatMap(ended -> ended.isPresent()
+                ? same(ended.get())
+                : delays.after(Duration.ofMillis(pauseMillis))
+                        .flatMap(waited -> attempt(replica, load, model, adapter, condition, tries + 1)));
+    }
+
+    private boolean isSettled() {
+        return settledFence != 0 && settledFence == lease.fence();
+    }
+
+    private Uni<Optional<Boolean>> send(
+            ReplicaState replica, boolean load, ModelName model, String adapter, int tries) {
         return lease.ensure().flatMap(mayOrder -> {
             if (!mayOrder) {
                 return ended(false);
             }
+            if (!isSettled()) {
+                return Uni.createFrom().item(Optional.empty());
+            }
             Order order = new Order(load, model, adapter, replica.orders(), self, lease.fence());
             return client.order(replica.listed(), order).flatMap(reply -> {
                 LogEvent.ORDER_REPLIED.log(
@@ -216,6 +260,7 @@
                         : Uni.createFrom().item(Optional.empty());
             }
             case UNKNOWN -> {
+                settledFence = 0;
                 return delays.after(UNKNOWN_PAUSE)
                         .flatMap(waited -> refresh(replica))
                         .map(done -> Optional.empty());
@@ -283,21 +328,36 @@
         int[] tries = {0};
         return delays.after(expected)
                 .flatMap(waited -> delays.until(
-                        CONFLICT_PAUSE,
+                        LOAD_POLL,
                         () -> refresh(replica).map(done -> {
                             boolean isOver = replica.holds(spec.name(), "")
                                     || replica.loading().isEmpty()
-                                    || ++tries[0] > MAX_TRIES * 4
+                                    || ++tries[0] > MAX_LOAD_POLLS
                                     || catalog.find(id).isEmpty();
                             return isOver ? Optional.of(replica.holds(spec.name(), "")) : Optional.empty();
                         })));
     }
 
-    /** Asks the replica for its state and passes it on. */
+    /**
+     * Asks the replica for its state and passes it on. What it does is not known while it carries out an order of an
+     * earlier holder, or one without an answer.
+     */
     private Uni<Void> refresh(ReplicaState replica) {
         return client.report(replica.listed())
                 .invoke(report -> {
-                    catalog.update(replica, "report", () -> replica.onHoldings(report.holdings()));
+                    boolean isNews = report.holdings().orders() != replica.orders()
+                            || report.holdings().bornMillis() != replica.bornMillis()
+                            || !isSettled();
+                    catalog.update(replica, "report", () -> {
+                        if (isNews) {
+                            replica.onReport(report.holdings());
+                        } else {
+                            replica.onHoldings(report.holdings());
+                        }
+                    });
+                    if (isNews && report.holdings().orders() >= replica.orders()) {
+                        settledFence = report.busy() ? 0 : lease.fence();
+                    }
                     announce(replica, Duration.ZERO);
                 })
                 .replaceWithVoid()
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -93,6 +93,25 @@
         }
     }
 
+    /**
+     * Takes a report by one who knows of no order under way: what it does not name is not there.
+     *
+     * @param holdings what the replica holds, not null
+     */
+    public void onReport(Holdings holdings) {
+        if (holdings.bornMillis() > bornMillis) {
+            restart(holdings);
+        } else if (holdings.bornMillis() == bornMillis && holdings.orders() >= orders) {
+            inMemory = holdings.inMemory();
+            onDisk = holdings.onDisk();
+            orders = holdings.orders();
+            ordersHeardMillis = clock.millis();
+            leaving = Optional.empty();
+            loading = Optional.empty();
+            replaceResidents(holdings.residents());
+        }
+    }
+
     /**
      * Notes that the replica accepted an order to unload a model, which it may still name until its runs have ended.
      *
