Estimate how long running calls run on before pricing an eviction

Cause: the mean run time came from running calls and their rate; for a rare model with one call that gave four seconds, so busy models were evicted in its place.

--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -167,7 +167,8 @@
      * @param waiting calls that wait until it is resident somewhere
      * @param running calls that the replica runs
      * @param arrivals calls that arrived since the sender's last report
-     * @param slackMillis the time that the most urgent waiting call has left until its objective
+     * @param slackMillis the time that the most urgent waiting call has left until its objective; with a replica named,
+     *     the time that the last of the running calls is expected to take
      */
     record WeightDemand(
             String service,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -108,7 +108,7 @@
                             0,
                             count,
                             0,
-                            Long.MAX_VALUE)));
+                            forwarder.runTimes().residualMillis(replica.id(), model))));
         }
         if (demands.isEmpty() && reportedNothing) {
             return;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -64,6 +64,7 @@
     private final Timers timers;
     private final Answers answers;
     private final WaitingCalls waiting = new WaitingCalls();
+    private final RunTimes runTimes;
     private final Map<WeightKey, Integer> arrivals = new HashMap<>();
     private Runnable onWaiting = () -> {};
     private int inFlight;
@@ -103,6 +104,7 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.answers = Objects.requireNonNull(answers, "answers");
+        this.runTimes = new RunTimes(clock);
     }
 
     /** Sets what runs when a call begins to wait. */
@@ -120,6 +122,11 @@
         return waiting;
     }
 
+    /** Returns what is known of how long calls run. */
+    RunTimes runTimes() {
+        return runTimes;
+    }
+
     /** Returns and forgets the arrivals since the last time, by what they need. */
     Map<WeightKey, Integer> takeArrivals() {
         Map<WeightKey, Integer> taken = Map.copyOf(arrivals);
@@ -338,6 +345,7 @@
         void begin() {
             exchange.current = request;
             replica.callStarted(model());
+            runTimes.started(replica.id(), exchange);
             exchange.runs++;
             LogEvent.CALL_SENT.logForCall(
                     exchange.head.id(),
@@ -358,11 +366,12 @@
         }
 
         /** Uncounts the attempt; true the first time. */
-        private boolean end() {
+        private boolean end(boolean succeeded) {
             if (over) {
                 return false;
             }
             over = true;
+            runTimes.ended(replica.id(), exchange, succeeded);
             replica.callEnded(model());
             if (exchange.current == request) {
                 exchange.current = null;
@@ -378,7 +387,7 @@
 
         private void failed(Verdict verdict, String reason) {
             boolean isCurrent = exchange.current == request;
-            if (!end()) {
+            if (!end(false)) {
                 return;
             }
             request.connection().close();
@@ -396,7 +405,7 @@
         private void onAnswer(HttpClientResponse answer) {
             if (over || exchange.finished) {
                 request.connection().close();
-                end();
+                end(false);
                 return;
             }
             CallCodec.AnswerHead head = codec.decodeAnswer(answer.statusCode(), answer.headers(), exchange.head.id());
@@ -431,7 +440,7 @@
 
         private void succeeded(int status, String reason) {
             boolean isCurrent = exchange.current == request;
-            if (!end()) {
+            if (!end(status / 100 == 2)) {
                 return;
             }
             request.connection().close();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
@@ -13,6 +13,7 @@
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.PeerMessage.WeightDemand;
 import org.tarragonring.policy.placement.ModelNeed;
+import org.tarragonring.policy.placement.ReplicaView.RunningCalls;
 import org.tarragonring.time.MonotonicClock;
 
 /**
@@ -90,13 +91,16 @@
      *
      * @return counts by replica and model
      */
-    public Map<UpstreamId, Map<ModelName, Integer>> running() {
-        Map<UpstreamId, Map<ModelName, Integer>> running = new HashMap<>();
+    public Map<UpstreamId, Map<ModelName, RunningCalls>> running() {
+        long now = clock.millis();
+        Map<UpstreamId, Map<ModelName, RunningCalls>> running = new HashMap<>();
         for (Report report : reports.values()) {
+            long ageMillis = now - report.atMillis;
             for (WeightDemand demand : report.demands) {
+                RunningCalls calls = new RunningCalls(demand.running(), demand.slackMillis() - ageMillis);
                 demand.replica()
                         .ifPresent(replica -> running.computeIfAbsent(replica, id -> new HashMap<>())
-                                .merge(demand.model(), demand.running(), Integer::sum));
+                                .merge(demand.model(), calls, RunningCalls::plus));
             }
         }
         return running;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -24,6 +24,7 @@
 import org.tarragonring.policy.placement.PlacementMove;
 import org.tarragonring.policy.placement.PlacementPlanner;
 import org.tarragonring.policy.placement.ReplicaView;
+import org.tarragonring.policy.placement.ReplicaView.RunningCalls;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
@@ -46,7 +47,7 @@
     private static final Duration PERIOD = Duration.ofMillis(100);
 
     /** How long a decided load counts as under way without a word of the replica's orders. */
-    private static final Duration DECISION_LIFETIME = Duration.ofMillis(2_000);
+    private static final Duration DECISION_LIFETIME = Duration.ofMillis(4_000);
 
     private final EntryId self;
     private final Mesh mesh;
@@ -124,7 +125,7 @@
     private void plan(ServiceName service, EngineSpec engine) {
         long now = clock.millis();
         decided.values().removeIf(decision -> now >= decision.untilMillis);
-        Map<UpstreamId, Map<ModelName, Integer>> running = book.running();
+        Map<UpstreamId, Map<ModelName, RunningCalls>> running = book.running();
         List<ReplicaView> views = catalog.usable(service).stream()
                 .map(replica -> view(replica, running.getOrDefault(replica.id(), Map.of()), now))
                 .toList();
@@ -133,7 +134,7 @@
         moves.forEach(move -> start(move, needs));
     }
 
-    private ReplicaView view(ReplicaState replica, Map<ModelName, Integer> running, long now) {
+    private ReplicaView view(ReplicaState replica, Map<ModelName, RunningCalls> running, long now) {
         Decided decision = decided.get(replica.id());
         if (decision != null && replica.holds(decision.model, "")) {
             decided.remove(replica.id());
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
@@ -32,11 +32,6 @@
     /** What losing one of several replicas costs for each call a second, as waiting. */
     private static final double CROWDING_MILLIS = 400;
 
-    /** Bounds of the time that an unload waits for a run. */
-    private static final double MIN_RUN_MILLIS = 300;
-
-    private static final double MAX_RUN_MILLIS = 4_000;
-
     private final Map<ModelName, ModelNeed> needs;
     private final Map<ModelName, Integer> copies = new HashMap<>();
 
@@ -73,7 +68,7 @@
     /** Returns what giving up a model on a replica costs. */
     double priceOf(ReplicaView replica, ModelName model) {
         ModelNeed need = need(model);
-        double price = runMillis(replica, model, need);
+        double price = replica.residualMillis(model);
         int left = copies(model) - 1;
         if (left <= 0) {
             if (need.waiting() > 0) {
@@ -84,13 +79,4 @@
         double crowding = left < wantedCopies(model) ? 2 : 1;
         return price + crowding * need.callsPerSecond() * CROWDING_MILLIS / left;
     }
-
-    /** Returns how long an unload waits for the calls that the replica runs, by the mean length of a run. */
-    private static double runMillis(ReplicaView replica, ModelName model, ModelNeed need) {
-        if (replica.running(model) == 0) {
-            return 0;
-        }
-        double meanMillis = 1_000 * need.running() / Math.max(need.callsPerSecond(), 0.05);
-        return Math.max(MIN_RUN_MILLIS, Math.min(MAX_RUN_MILLIS, meanMillis));
-    }
 }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/ReplicaView.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/ReplicaView.java
@@ -19,7 +19,7 @@
  */
 public record ReplicaView(
         ReplicaState state,
-        Map<ModelName, Integer> running,
+        Map<ModelName, RunningCalls> running,
         Optional<ModelName> underWay,
         long freeInMillis,
         boolean orderable) {
@@ -31,11 +31,32 @@
         Objects.requireNonNull(underWay, "underWay");
     }
 
-    int running(ModelName model) {
-        return running.getOrDefault(model, 0);
+    /** Returns how long an unload of a model waits for the calls that the replica runs. */
+    long residualMillis(ModelName model) {
+        RunningCalls calls = running.get(model);
+        return calls == null ? 0 : Math.max(0, calls.residualMillis());
     }
 
     boolean isFree() {
         return orderable && underWay.isEmpty();
     }
+
+    /**
+     * The calls of one model that a replica runs.
+     *
+     * @param count how many
+     * @param residualMillis how long the last of them is expected to run on
+     */
+    public record RunningCalls(int count, long residualMillis) {
+
+        /**
+         * Adds calls.
+         *
+         * @param other other calls, not null
+         * @return both together
+         */
+        public RunningCalls plus(RunningCalls other) {
+            return new RunningCalls(count + other.count, Math.max(residualMillis, other.residualMillis));
+        }
+    }
 }
