--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -177,7 +177,7 @@
      */
     public List<ReplicaState> holding(WeightKey weights) {
         return usable(weights.service()).stream()
-                .filter(r -> r.holds(weights.model(), weights.adapter()))
+                .filter(r -> r.canRun(weights.model(), weights.adapter()))
                 .toList();
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -47,6 +47,9 @@
     /** The pause before a call that every replica rejected is tried again. */
     private static final Duration REJECTED_PAUSE = Duration.ofMillis(40);
 
+    /** How long a replica is not asked for what it said it does not hold; a load under way may end meanwhile. */
+    private static final long ABSENT_MILLIS = 60;
+
     /** The time below which sending a call on makes no sense. */
     private static final long MIN_REMAINING_MILLIS = 15;
 
@@ -433,7 +436,7 @@
             if (head.otherReplica()) {
                 catalog.remove(replica.id());
             } else if (status == 421) {
-                exchange.weights.ifPresent(key -> replica.onAbsent(key.model(), key.adapter()));
+                exchange.weights.ifPresent(key -> replica.onAbsent(key.model(), key.adapter(), ABSENT_MILLIS));
             }
             failed(Verdict.NOT_RUN, "the replica rejected the call with status " + status);
         }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -48,6 +48,9 @@
     /** The pause between questions for the end of a load that takes longer than expected. */
     private static final Duration LOAD_POLL = Duration.ofMillis(60);
 
+    /** How long an adapter takes from its order until calls can use it: the longest that deployments give, and the way. */
+    private static final Duration ADAPTER_LOAD = Duration.ofMillis(12);
+
     /** The pause before the replica is asked what became of an order without an answer. */
     private static final Duration UNKNOWN_PAUSE = Duration.ofMillis(400);
 
@@ -244,12 +247,12 @@
     private Uni<Optional<Boolean>> onReply(ReplicaState replica, Order order, OrderReply reply, int tries) {
         switch (reply) {
             case ACCEPTED -> {
-                apply(replica, order);
+                apply(replica, order, replica.orders() + 1);
                 return ended(true);
             }
             case ALREADY_HOLDS -> {
-                if (!order.adapter().isEmpty() && !order.load()) {
-                    apply(replica, order);
+                if (!order.adapter().isEmpty()) {
+                    apply(replica, order, order.load() ? replica.orders() : replica.orders() + 1);
                     return ended(true);
                 }
                 return refresh(replica).map(done -> Optional.of(true));
@@ -281,7 +284,7 @@
     }
 
     /** Notes what the replica holds once it has accepted an order. */
-    private void apply(ReplicaState replica, Order order) {
+    private void apply(ReplicaState replica, Order order, long newOrders) {
         Map<ModelName, Set<String>> residents = new HashMap<>(replica.residents());
         Optional<ModelName> loading = order.adapter().isEmpty() ? Optional.empty() : replica.loading();
         if (order.adapter().isEmpty()) {
@@ -313,7 +316,12 @@
         if (!order.load() && order.adapter().isEmpty()) {
             replica.onLeaving(order.model());
         }
-        announce(replica, Duration.ZERO);
+        if (order.load() && !order.adapter().isEmpty()) {
+            replica.onAbsent(order.model(), order.adapter(), ADAPTER_LOAD.toMillis());
+            delays.after(ADAPTER_LOAD).subscribe().with(done -> announce(replica, Duration.ZERO));
+        } else {
+            announce(replica, Duration.ZERO);
+        }
     }
 
     /** Waits for a load, first as long as it should take, then by asking the replica. */
@@ -376,7 +384,9 @@
                 replica.orders(),
                 replica.residents(),
                 replica.loading(),
-                loadingTime.toMillis()));
+                loadingTime.isZero()
+                        ? Math.max(0, replica.loadingUntilMillis() - clock.millis())
+                        : loadingTime.toMillis()));
     }
 
     private static boolean fits(ReplicaState replica, ModelName model, EngineSpec engine) {
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -35,6 +35,7 @@
     private long ordersHeardMillis;
     private final Map<ModelName, Set<String>> residents = new HashMap<>();
     private final Map<ModelName, Integer> inFlight = new HashMap<>();
+    private final Map<String, Long> absentUntilMillis = new HashMap<>();
     private Set<ModelName> inMemory = Set.of();
     private Set<ModelName> onDisk = Set.of();
     private Optional<ModelName> loading = Optional.empty();
@@ -151,21 +152,30 @@
     }
 
     /**
-     * Notes that the replica said it does not hold something.
+     * Notes that the replica cannot run something yet, as it said or as its load takes a moment. What orders rest on
+     * stays as it is.
      *
      * @param model the model, not null
      * @param adapter the adapter, empty for the model itself
+     * @param forMillis how long to believe that
      */
-    public void onAbsent(ModelName model, String adapter) {
-        if (adapter.isEmpty()) {
-            residents.remove(model);
-        } else {
-            residents.computeIfPresent(model, (key, adapters) -> without(adapters, adapter));
-        }
+    public void onAbsent(ModelName model, String adapter, long forMillis) {
+        absentUntilMillis.put(model + "/" + adapter, clock.millis() + forMillis);
+    }
+
+    /**
+     * Checks if the replica can run a model now.
+     *
+     * @param model the model, not null
+     * @param adapter the adapter, empty for the model itself
+     * @return true if it is resident and the replica did not just say otherwise
+     */
+    public boolean canRun(ModelName model, String adapter) {
+        return holds(model, adapter) && !isAbsent(model + "/" + adapter);
     }
 
     /**
-     * Checks if the replica can run a model.
+     * Checks if a model or adapter is resident by the orders that the replica accepted.
      *
      * @param model the model, not null
      * @param adapter the adapter, empty for the model itself
@@ -365,9 +375,12 @@
         return first;
     }
 
-    private static Set<String> without(Set<String> adapters, String adapter) {
-        Set<String> rest = new HashSet<>(adapters);
-        rest.remove(adapter);
-        return rest;
+    private boolean isAbsent(String key) {
+        Long untilMillis = absentUntilMillis.get(key);
+        if (untilMillis != null && clock.millis() >= untilMillis) {
+            absentUntilMillis.remove(key);
+            return false;
+        }
+        return untilMillis != null;
     }
 }
