--- /dev/null
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/config/ServingConfigTest.java
@@ -0,0 +1,107 @@
+package org.tarragonring.policy.config;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.tarragonring.ids.ServiceName;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class ServingConfigTest {
+
+    private static final ServiceName ASSISTANT = new ServiceName("assistant");
+    private static final ServiceName SHOP = new ServiceName("shop");
+
+    private final Route wide = route("wide", "/shop/", RouteKind.IDEMPOTENT, List.of(new WeightedService(SHOP, 1)));
+    private final Route narrow =
+            route("narrow", "/shop/book/", RouteKind.NON_IDEMPOTENT, List.of(new WeightedService(SHOP, 1)));
+    private final ServingConfig config = new ServingConfig(3, List.of(wide, narrow), Map.of(), RequestLimits.DEFAULT);
+
+    @Test
+    void longestPrefixWins() {
+        assertEquals(Optional.of(narrow), config.findRoute("shop.example", "/shop/book/7"));
+        assertEquals(Optional.of(wide), config.findRoute("shop.example", "/shop/bookings"));
+    }
+
+    @Test
+    void hostMayCarryAPortAndAnyCase() {
+        assertEquals(Optional.of(wide), config.findRoute("Shop.Example:8080", "/shop/x"));
+    }
+
+    @Test
+    void otherHostOrPathHasNoRoute() {
+        assertEquals(Optional.empty(), config.findRoute("other.example", "/shop/x"));
+        assertEquals(Optional.empty(), config.findRoute("shop.example", "/shop"));
+    }
+
+    @Test
+    void weightsDivideCalls() {
+        Route split = route(
+                "split",
+                "/s/",
+                RouteKind.IDEMPOTENT,
+                List.of(new WeightedService(ASSISTANT, 90), new WeightedService(SHOP, 10)));
+
+        assertEquals(ASSISTANT, split.serviceAt(0));
+        assertEquals(ASSISTANT, split.serviceAt(0.899));
+        assertEquals(SHOP, split.serviceAt(0.9));
+    }
+
+    @Test
+    void weightOfZeroGetsNoCall() {
+        Route split = route(
+                "split",
+                "/s/",
+                RouteKind.IDEMPOTENT,
+                List.of(new WeightedService(ASSISTANT, 0), new WeightedService(SHOP, 10)));
+
+        assertEquals(SHOP, split.serviceAt(0));
+    }
+
+    @Test
+    void routeWithoutServiceIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> route("none", "/n/", RouteKind.IDEMPOTENT, List.of()));
+    }
+
+    @Test
+    void patienceOfAStreamIsTheLongestOfItsBounds() {
+        assertEquals(Duration.ofSeconds(10), stream(2_500, 400).patience());
+        assertEquals(Duration.ofMillis(3_200), stream(500, 400).patience());
+        assertEquals(Duration.ofSeconds(2), stream(100, 100).patience());
+        assertEquals(Duration.ofSeconds(30), wide.patience());
+    }
+
+    private static Route stream(long objectiveMillis, long pauseMillis) {
+        return new Route(
+                "stream",
+                "shop.example",
+                "/stream/",
+                RouteKind.STREAM,
+                Duration.ofSeconds(30),
+                Duration.ofMillis(objectiveMillis),
+                Duration.ofMillis(pauseMillis),
+                1,
+                1,
+                false,
+                List.of(new WeightedService(ASSISTANT, 1)));
+    }
+
+    private static Route route(String name, String prefix, RouteKind kind, List<WeightedService> services) {
+        return new Route(
+                name,
+                "shop.example",
+                prefix,
+                kind,
+                Duration.ofSeconds(30),
+                Duration.ofSeconds(1),
+                Duration.ZERO,
+                1,
+                1,
+                false,
+                services);
+    }
+}
--- /dev/null
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/lease/OrderLeaseTest.java
@@ -0,0 +1,90 @@
+package org.tarragonring.policy.lease;
+
+import java.time.Duration;
+import java.time.Instant;
+
+import org.junit.jupiter.api.Test;
+import org.tarragonring.time.MonotonicClock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class OrderLeaseTest {
+
+    private static final Duration VALIDITY = Duration.ofMillis(1_500);
+
+    private long monotonicMillis = 5_000;
+    private long wallMillis = 1_000_000;
+    private final OrderLease lease = new OrderLease(
+            () -> monotonicMillis * MonotonicClock.NANOS_PER_MILLI, () -> Instant.ofEpochMilli(wallMillis), VALIDITY);
+
+    @Test
+    void isNotValidBeforeAGrant() {
+        assertFalse(lease.isValid());
+    }
+
+    @Test
+    void countsFromTheSendingOfTheWrite() {
+        OrderLease.SendTime sent = lease.sendTime();
+        pass(1_000);
+        lease.granted(sent, 7);
+
+        assertEquals(500, lease.remainingMillis());
+        assertEquals(7, lease.fence());
+    }
+
+    @Test
+    void endsWhenTheValidityHasPassed() {
+        lease.granted(lease.sendTime(), 1);
+        pass(VALIDITY.toMillis());
+
+        assertFalse(lease.isValid());
+    }
+
+    @Test
+    void endsWhenTheMachineWasSuspended() {
+        lease.granted(lease.sendTime(), 1);
+        wallMillis += 700;
+
+        assertFalse(lease.isValid(), "the monotonic clock stood still for 700 ms");
+    }
+
+    @Test
+    void endsWhenTheWallClockWasSetBack() {
+        lease.granted(lease.sendTime(), 1);
+        wallMillis -= 2_000;
+
+        assertFalse(lease.isValid());
+    }
+
+    @Test
+    void toleratesASmallDriftOfTheClocks() {
+        lease.granted(lease.sendTime(), 1);
+        wallMillis += OrderLease.MAX_CLOCK_DRIFT.toMillis();
+
+        assertTrue(lease.isValid());
+    }
+
+    @Test
+    void isValidAgainAfterARenewalFollowingAJump() {
+        lease.granted(lease.sendTime(), 1);
+        wallMillis += 60_000;
+        lease.granted(lease.sendTime(), 1);
+
+        assertTrue(lease.isValid());
+    }
+
+    @Test
+    void endsWhenGivenUp() {
+        lease.granted(lease.sendTime(), 1);
+        lease.lost();
+
+        assertFalse(lease.isValid());
+    }
+
+    private void pass(long millis) {
+        monotonicMillis += millis;
+        wallMillis += millis;
+    }
+}
