--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -9,20 +9,16 @@
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
-import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.budget.RepeatBudget;
-import org.tarragonring.policy.config.RouteKind;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
@@ -39,7 +35,7 @@
  *
  * @since 0.2.0
  */
-public final class Forwarder {
+final class Forwarder implements Attempt.Owner {
 
     /** The largest number of rejections that one call survives. */
     private static final int MAX_REJECTIONS = 8;
@@ -47,9 +43,6 @@
     /** The pause before a call that every replica rejected is tried again. */
     private static final Duration REJECTED_PAUSE = Duration.ofMillis(40);
 
-    /** How long a replica is not asked for what it said it does not hold; a load under way may end meanwhile. */
-    private static final long ABSENT_MILLIS = 60;
-
     /** The time below which sending a call on makes no sense. */
     private static final long MIN_REMAINING_MILLIS = 15;
 
@@ -68,6 +61,7 @@
     private final Answers answers;
     private final WaitingCalls waiting = new WaitingCalls();
     private final RunTimes runTimes;
+    private final Attempt.Context context;
     private final Map<WeightKey, Integer> arrivals = new HashMap<>();
     private Runnable onWaiting = () -> {};
     private int inFlight;
@@ -108,6 +102,7 @@
         this.timers = Objects.requireNonNull(timers, "timers");
         this.answers = Objects.requireNonNull(answers, "answers");
         this.runTimes = new RunTimes(clock);
+        this.context = new Attempt.Context(codec, catalog, ejections, clock, runTimes, answers, this);
     }
 
     /** Sets what runs when a call begins to wait. */
@@ -249,8 +244,7 @@
             }
             return;
         }
-        Attempt running = new Attempt(exchange, replica, attempt, request);
-        running.begin();
+        new Attempt(context, exchange, replica, request).begin();
     }
 
     private void onTimeout(Exchange exchange) {
@@ -309,7 +303,18 @@
         Answers.log(exchange, clock.millis(), status, outcome, reason);
     }
 
-    private void onAttemptFailed(Exchange exchange, ReplicaState replica, Verdict verdict, String reason) {
+    @Override
+    public void onAnswered(Exchange exchange, int status, String reason) {
+        finish(exchange, status, "answered", reason);
+    }
+
+    @Override
+    public void onFirstEvent(Exchange exchange) {
+        limitTo(exchange, exchange.endMillis);
+    }
+
+    @Override
+    public void onFailed(Exchange exchange, ReplicaState replica, Verdict verdict, String reason) {
         logAttempt(exchange, verdict, reason);
         exchange.avoided.add(replica.id());
         boolean isBudgeted = verdict == Verdict.NOT_RUN
@@ -327,224 +332,4 @@
     private static void logAttempt(Exchange exchange, Verdict verdict, String reason) {
         LogEvent.ATTEMPT_FAILED.logForCall(exchange.head.id(), exchange.replica.id(), verdict.text(), reason);
     }
-
-    /** One request to a replica. */
-    private final class Attempt {
-
-        private final Exchange exchange;
-        private final ReplicaState replica;
-        private final int number;
-        private final HttpClientRequest request;
-        private boolean over;
-        private boolean connectionFailed;
-
-        Attempt(Exchange exchange, ReplicaState replica, int number, HttpClientRequest request) {
-            this.exchange = exchange;
-            this.replica = replica;
-            this.number = number;
-            this.request = request;
-        }
-
-        void begin() {
-            exchange.current = request;
-            replica.callStarted(model());
-            runTimes.started(replica.id(), exchange);
-            exchange.runs++;
-            LogEvent.CALL_SENT.logForCall(
-                    exchange.head.id(),
-                    number,
-                    replica.id(),
-                    replica.inFlight() - 1,
-                    clock.millis() - exchange.arrivedMillis,
-                    exchange.endMillis - clock.millis());
-            request.connection().exceptionHandler(failure -> connectionFailed = true);
-            request.connection().closeHandler(closed -> onClosed());
-            request.send(exchange.body)
-                    .onSuccess(this::onAnswer)
-                    .onFailure(failure -> failed(Verdict.MAY_HAVE_RUN, "no answer: " + failure.getMessage()));
-        }
-
-        private ModelName model() {
-            return exchange.weights.map(WeightKey::model).orElse(null);
-        }
-
-        /** Uncounts the attempt; true the first time. */
-        private boolean end(boolean succeeded) {
-            if (over) {
-                return false;
-            }
-            over = true;
-            runTimes.ended(replica.id(), exchange, succeeded);
-            replica.callEnded(model());
-            if (exchange.current == request) {
-                exchange.current = null;
-            }
-            return true;
-        }
-
-        private void onClosed() {
-            if (!over) {
-                failed(Verdict.MAY_HAVE_RUN, "the replica closed the connection");
-            }
-        }
-
-        private void failed(Verdict verdict, String reason) {
-            boolean isCurrent = exchange.current == request;
-            if (!end(false)) {
-                return;
-            }
-            request.connection().close();
-            if (exchange.finished || !isCurrent) {
-                return;
-            }
-            if (verdict == Verdict.NOT_RUN) {
-                exchange.runs--;
-            } else {
-                ejections.failed(replica.id());
-            }
-            onAttemptFailed(exchange, replica, verdict, reason);
-        }
-
-        private void onAnswer(HttpClientResponse answer) {
-            if (over || exchange.finished) {
-                request.connection().close();
-                end(false);
-                return;
-            }
-            CallCodec.AnswerHead head = codec.decodeAnswer(answer.statusCode(), answer.headers(), exchange.head.id());
-            boolean isSuccess = answer.statusCode() / 100 == 2;
-            if (!head.belongsToCall()) {
-                failed(Verdict.MAY_HAVE_RUN, "the answer belongs to another call");
-            } else if (head.notRun()) {
-                onRejected(answer.statusCode(), head);
-            } else if (isSuccess && !head.genuine()) {
-                failed(Verdict.MAY_HAVE_RUN, "the answer is not vouched for");
-            } else if (answer.statusCode() >= 500 && mayTryAgain()) {
-                failed(Verdict.RAN, "the replica answered with status " + answer.statusCode());
-            } else if (isSuccess && exchange.route.kind() == RouteKind.STREAM) {
-                new StreamRelay(answer).begin();
-            } else {
-                new BodyRelay(answer).begin();
-            }
-        }
-
-        private boolean mayTryAgain() {
-            return !exchange.answering && exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxAttempts();
-        }
-
-        private void onRejected(int status, CallCodec.AnswerHead head) {
-            if (head.otherReplica()) {
-                catalog.remove(replica.id());
-            } else if (status == 421) {
-                exchange.weights.ifPresent(key -> replica.onAbsent(key.model(), key.adapter(), ABSENT_MILLIS));
-            }
-            failed(Verdict.NOT_RUN, "the replica rejected the call with status " + status);
-        }
-
-        private void succeeded(int status, String reason) {
-            boolean isCurrent = exchange.current == request;
-            if (!end(status / 100 == 2)) {
-                return;
-            }
-            request.connection().close();
-            if (status < 500) {
-                ejections.succeeded(replica.id());
-            } else {
-                ejections.failed(replica.id());
-            }
-            if (isCurrent && !exchange.finished) {
-                finish(exchange, status, "answered", reason);
-            }
-        }
-
-        /** Passes an answer on that is one body, once it is complete. */
-        private final class BodyRelay {
-
-            private final HttpClientResponse answer;
-            private final Buffer collected = Buffer.buffer();
-
-            BodyRelay(HttpClientResponse answer) {
-                this.answer = answer;
-            }
-
-            void begin() {
-                answer.exceptionHandler(failure -> failed(Verdict.MAY_HAVE_RUN, "the answer broke off"));
-                answer.handler(collected::appendBuffer);
-                answer.endHandler(end -> onEnd());
-            }
-
-            private void onEnd() {
-                if (over || exchange.finished) {
-                    return;
-                }
-                if (connectionFailed) {
-                    failed(Verdict.MAY_HAVE_RUN, "the connection broke off at the answer's end");
-                    return;
-                }
-                var response = exchange.request.response();
-                response.setStatusCode(answer.statusCode());
-                response.headers().setAll(codec.toCaller(answer.headers()));
-                answers.prepare(response);
-                response.end(collected);
-                succeeded(answer.statusCode(), "complete");
-            }
-        }
-
-        /** Passes the events of a stream on as they arrive. */
-        private final class StreamRelay {
-
-            private final HttpClientResponse answer;
-
-            StreamRelay(HttpClientResponse answer) {
-                this.answer = answer;
-            }
-
-            void begin() {
-                answer.exceptionHandler(failure -> onBroken("the stream broke off: " + failure.getMessage()));
-                answer.handler(this::onBytes);
-                answer.endHandler(end -> onEnd());
-            }
-
-            private void onBytes(Buffer bytes) {
-                if (over || exchange.finished) {
-                    return;
-                }
-                Buffer whole = exchange.framer.feed(bytes);
-                if (whole.length() == 0) {
-                    return;
-                }
-                var response = exchange.request.response();
-                if (!exchange.answering) {
-                    exchange.answering = true;
-                    limitTo(exchange, exchange.endMillis);
-                    response.setStatusCode(answer.statusCode());
-                    response.headers().setAll(codec.toCaller(answer.headers()));
-                    answers.prepare(response);
-                    response.setChunked(true);
-                }
-                response.write(whole);
-                if (response.writeQueueFull()) {
-                    answer.pause();
-                    response.drainHandler(drained -> answer.resume());
-                }
-            }
-
-            private void onEnd() {
-                if (over || exchange.finished) {
-                    return;
-                }
-                if (connectionFailed || exchange.framer.partial().length() > 0 || !exchange.answering) {
-                    onBroken("the stream ended inside an event");
-                    return;
-                }
-                exchange.request.response().end();
-                succeeded(answer.statusCode(), exchange.framer.events() + " events");
-            }
-
-            private void onBroken(String reason) {
-                exchange.framer.dropPartial();
-                failed(Verdict.MAY_HAVE_RUN, reason);
-            }
-        }
-    }
 }
