Keep the last replica of busy models, and load from the store only without a copy

Cause: during a burst of rare models the planner evicted busy models to their last replica and sent urgent loads to the weight store though other replicas had the model on disk; each kept a replica for 6 s or more. Free room was filled while calls waited.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -144,7 +144,7 @@
         long freeInMillis = underWay.isPresent() ? Math.max(0, replica.loadingUntilMillis() - now) : 0;
         if (underWay.isEmpty() && decision != null) {
             underWay = Optional.of(decision.model);
-            freeInMillis = decision.untilMillis - now;
+            freeInMillis = Math.max(0, decision.expectedMillis - now);
         }
         boolean orderable = authority.holderOf(replica.id()).isPresent();
         return new ReplicaView(replica, running, underWay, freeInMillis, orderable);
@@ -155,9 +155,21 @@
                 .map(ModelNeed::waiting)
                 .orElse(0);
         LogEvent.LOAD_PLANNED.log(move.model(), move.replica(), move.evict(), move.tier(), move.reason(), waiting);
-        decided.put(move.replica(), new Decided(move.model(), clock.millis() + DECISION_LIFETIME.toMillis()));
+        decided.put(
+                move.replica(),
+                new Decided(
+                        move.model(),
+                        clock.millis() + move.expectedMillis(),
+                        clock.millis() + DECISION_LIFETIME.toMillis()));
         desk.request(new PeerMessage.LoadRequest(move.replica(), move.model(), "", move.evict()));
     }
 
-    private record Decided(ModelName model, long untilMillis) {}
+    /**
+     * A load that was decided.
+     *
+     * @param model what to load
+     * @param expectedMillis when it should be done
+     * @param untilMillis when it is taken as failed
+     */
+    private record Decided(ModelName model, long expectedMillis, long untilMillis) {}
 }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
@@ -23,8 +23,8 @@
     /** The rate above which a model has two replicas, so that losing one costs no call its objective. */
     private static final double RATE_FOR_TWO = 1.5;
 
-    /** How long a model is away that is called again right after its eviction: an unload and a load from disk. */
-    private static final double ABSENCE_SECONDS = 1.5;
+    /** How long a model is away that is called again right after its eviction: an unload that waits for runs, a load. */
+    private static final double ABSENCE_SECONDS = 3;
 
     /** What a call that misses its objective counts, as waiting. */
     private static final double MISSED_CALL_MILLIS = 3_000;
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementMove.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementMove.java
@@ -14,11 +14,17 @@
  * @param model what to load, not null
  * @param evict what to unload first, not null
  * @param tier from where the replica loads it, not null
+ * @param expectedMillis how long the unloads and the load are expected to take
  * @param reason why, not null
  * @since 0.2.0
  */
 public record PlacementMove(
-        UpstreamId replica, ModelName model, List<ModelName> evict, CheckpointTier tier, Reason reason) {
+        UpstreamId replica,
+        ModelName model,
+        List<ModelName> evict,
+        CheckpointTier tier,
+        long expectedMillis,
+        Reason reason) {
 
     /** Checks the arguments and copies the list. */
     public PlacementMove {
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -40,6 +40,12 @@
     /** What a load from the weight store costs the other models, since the replica swaps nothing meanwhile. */
     private static final double STORE_LOAD_BLOCKS_MILLIS = 10_000;
 
+    /** How late calls must be before a model is loaded from the store though some replica has a copy of it. */
+    private static final long LATE_ENOUGH_FOR_STORE_MILLIS = -2_500;
+
+    /** How long an unload of a model without running calls takes. */
+    private static final long UNLOAD_MILLIS = 100;
+
     /** The most that evictions for something else than waiting calls may cost, as waiting. */
     private static final double MAX_PRICE_AHEAD = 700;
 
@@ -64,8 +70,10 @@
     public List<PlacementMove> plan(Collection<ReplicaView> replicas, Map<ModelName, ModelNeed> needs) {
         Round round = new Round(replicas, needs);
         round.serveWaitingCalls();
-        round.spreadBusyModels();
-        round.fillFreeRoom();
+        if (!round.hasCallsWithoutPlace()) {
+            round.spreadBusyModels();
+            round.fillFreeRoom();
+        }
         round.fetchMissingCopies();
         return round.moves;
     }
@@ -114,6 +122,13 @@
                     .forEach(model -> load(model, PlacementMove.Reason.WAITING_CALLS, EvictionPrices.NEVER));
         }
 
+        /** Checks if calls wait for models that are neither resident nor under way. */
+        boolean hasCallsWithoutPlace() {
+            return needs.values().stream()
+                    .anyMatch(need ->
+                            need.waiting() > 0 && prices.copies(need.model()) == 0 && !coming.contains(need.model()));
+        }
+
         void spreadBusyModels() {
             known(needs.keySet().stream()
                             .filter(model -> prices.copies(model) < prices.wantedCopies(model))
@@ -175,9 +190,8 @@
         private void load(ModelName model, PlacementMove.Reason reason, double maxPrice) {
             Optional<Spot> best = candidates.stream()
                     .filter(replica -> !replica.state().holds(model, ""))
-                    .filter(replica -> reason != PlacementMove.Reason.BUSY_MODEL
-                            || replica.state().tierOf(model) != CheckpointTier.REMOTE
-                            || replica.state().residents().isEmpty())
+                    .filter(replica -> replica.state().tierOf(model) != CheckpointTier.REMOTE
+                            || mayLoadFromStore(replica, model, reason))
                     .flatMap(replica -> spot(replica, model, maxPrice).stream())
                     .min(Comparator.comparingDouble(Spot::costMillis));
             best.ifPresent(spot -> {
@@ -190,13 +204,28 @@
             });
         }
 
+        /** Checks if a load that keeps a replica busy for seconds is worth it. */
+        private boolean mayLoadFromStore(ReplicaView replica, ModelName model, PlacementMove.Reason reason) {
+            if (reason == PlacementMove.Reason.NO_COPY
+                    || replica.state().residents().isEmpty()) {
+                return true;
+            }
+            boolean hasCopy = replicas.stream().anyMatch(other -> other.state().tierOf(model) != CheckpointTier.REMOTE);
+            return reason == PlacementMove.Reason.WAITING_CALLS
+                    && (!hasCopy || prices.need(model).slackMillis() < LATE_ENOUGH_FOR_STORE_MILLIS);
+        }
+
         private void decide(Spot spot, ModelName model, PlacementMove.Reason reason) {
             CheckpointTier tier = spot.replica.state().tierOf(model);
             storeLoads += tier == CheckpointTier.REMOTE ? 1 : 0;
             candidates.remove(spot.replica);
             coming.add(model);
             spot.evict.forEach(prices::remove);
-            moves.add(new PlacementMove(spot.replica.state().id(), model, spot.evict, tier, reason));
+            long expectedMillis = loadTime(spot.replica.state(), model).toMillis();
+            for (ModelName victim : spot.evict) {
+                expectedMillis += UNLOAD_MILLIS + spot.replica.residualMillis(victim);
+            }
+            moves.add(new PlacementMove(spot.replica.state().id(), model, spot.evict, tier, expectedMillis, reason));
         }
 
         /** Finds what must make room on a replica, cheapest first, and what that and the load cost. */
