--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -108,7 +108,9 @@
     /** An unexpected failure was caught. */
     UNEXPECTED(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
     /** An invariant does not hold. */
-    INVARIANT_BROKEN(901, Logger.Level.ERROR, "invariant broken, step refused: %s");
+    INVARIANT_BROKEN(901, Logger.Level.ERROR, "invariant broken, step refused: %s"),
+    /** Lines were left out to bound the volume. */
+    LINES_LEFT_OUT(902, Logger.Level.WARN, "%s lines were left out");
 
     private static final Logger LOGGER = Logger.getLogger("org.tarragonring");
     private static final String CALL_ID_KEY = "callId";
--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogOutput.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogOutput.java
@@ -7,6 +7,7 @@
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /**
@@ -19,8 +20,29 @@
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} %-5p %s%e%n";
     private static final String ROOT = "";
 
+    /** Lines that may wait to be written; more are left out, so that logging never holds up work. */
+    private static final int QUEUED_LINES = 4_096;
+
+    private static final VolumeLimit LIMIT = new VolumeLimit();
+
     private LogOutput() {}
 
+    /**
+     * Returns how many lines were left out to bound the volume.
+     *
+     * @return a count since the start
+     */
+    public static long linesLeftOut() {
+        return LIMIT.totalLeftOut();
+    }
+
+    /** Writes the lines that wait. */
+    public static void flush() {
+        for (Handler handler : LogContext.getLogContext().getLogger(ROOT).getHandlers()) {
+            handler.close();
+        }
+    }
+
     /**
      * Writes log events to standard output or standard error.
      *
@@ -37,7 +59,12 @@
                 target == Target.OUTPUT ? ConsoleHandler.Target.SYSTEM_OUT : ConsoleHandler.Target.SYSTEM_ERR,
                 format.equals("json") ? new JsonFormatter() : new PatternFormatter(PATTERN));
         handler.setLevel(Level.ALL);
-        root.addHandler(handler);
+        AsyncHandler queue = new AsyncHandler(QUEUED_LINES);
+        queue.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+        queue.setCloseChildren(false);
+        queue.addHandler(handler);
+        queue.setFilter(LIMIT);
+        root.addHandler(queue);
         root.setLevel(Level.WARNING);
         LogContext.getLogContext().getLogger("org.tarragonring").setLevel(level(level));
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -12,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Vertx;
 import org.tarragonring.entry.Clocks;
 import org.tarragonring.gateway.call.CallCodec;
@@ -20,6 +22,9 @@
 import org.tarragonring.gateway.follow.StoreFollower;
 import org.tarragonring.gateway.forward.CallServer;
 import org.tarragonring.gateway.mesh.Mesh;
+import org.tarragonring.gateway.metrics.GatewayMetrics;
+import org.tarragonring.gateway.metrics.MeteredReplicaClient;
+import org.tarragonring.gateway.metrics.MeteredStore;
 import org.tarragonring.gateway.orders.GroupLease;
 import org.tarragonring.gateway.orders.OrderAuthority;
 import org.tarragonring.gateway.orders.OrderDesk;
@@ -67,6 +72,7 @@
     private final GatewaySettings settings;
     private final Clocks clocks;
     private final Timers timers;
+    private final RevisionedStore store;
     private final Mesh mesh;
     private final ReplicaCatalog catalog;
     private final StoreFollower configFollower;
@@ -89,21 +95,25 @@
      * @param vertx runs the gateway, not null
      * @param clocks the clocks, not null
      * @param random gives random numbers, not null
+     * @param registry keeps the metrics, not null
      */
-    public Gateway(GatewaySettings settings, Ports ports, Vertx vertx, Clocks clocks, Random random) {
+    public Gateway(
+            GatewaySettings settings, Ports ports, Vertx vertx, Clocks clocks, Random random, MeterRegistry registry) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.clocks = Objects.requireNonNull(clocks, "clocks");
         this.timers = new VertxTimers(vertx);
+        GatewayMetrics metrics = new GatewayMetrics(registry);
+        this.store = new MeteredStore(ports.store, metrics, clocks.monotonic());
         Ejections ejections = new Ejections(clocks.monotonic());
-        this.mesh = new Mesh(settings, vertx, ports.store, clocks.monotonic(), clocks.wall(), timers, random);
+        this.mesh = new Mesh(settings, vertx, store, clocks.monotonic(), clocks.wall(), timers, random);
         this.catalog = new ReplicaCatalog(clocks.monotonic(), ejections);
         this.authority = new OrderAuthority(
-                settings.id(), mesh, leases(settings, ports.store), settings.orderTurn(), clocks.monotonic(), timers);
+                settings.id(), mesh, leases(settings), settings.orderTurn(), clocks.monotonic(), timers);
         this.desk = new OrderDesk(
                 settings.id(),
                 authority,
                 catalog,
-                ports.replicas,
+                new MeteredReplicaClient(ports.replicas, metrics, clocks.monotonic()),
                 mesh,
                 this::config,
                 clocks.monotonic(),
@@ -128,7 +138,8 @@
                 mesh,
                 clocks.monotonic(),
                 timers,
-                random::nextDouble);
+                random::nextDouble,
+                metrics);
         this.server = new CallServer(
                 context,
                 this::config,
@@ -137,16 +148,20 @@
                 this::budget,
                 () -> mesh.alive().size(),
                 desk);
-        this.configFollower =
-                follower(ports, ports.configPrefix, CONFIG_WATCH, Duration.ZERO, this::onConfig, key -> {});
+        this.configFollower = follower(ports.configPrefix, CONFIG_WATCH, Duration.ZERO, this::onConfig, key -> {});
         this.replicaFollower = follower(
-                ports,
                 ports.replicaPrefix,
                 REPLICA_WATCH,
                 REPLICA_BATCH,
                 object -> ports.replicaDecoder.apply(object).ifPresent(catalog::put),
                 key -> catalog.remove(new UpstreamId(key.substring(ports.replicaPrefix.length()))));
         this.configDecoder = ports.configDecoder;
+        metrics.gauge(
+                "tarragonring.config.version",
+                () -> config.map(ServingConfig::version).orElse(0L));
+        metrics.gauge("tarragonring.entries.alive", () -> mesh.alive().size());
+        metrics.gauge("tarragonring.order.groups.held", authority::heldGroups);
+        metrics.gauge("tarragonring.replicas.listed", () -> catalog.all().size());
     }
 
     /**
@@ -217,6 +232,25 @@
         return config;
     }
 
+    /**
+     * Describes the gateway.
+     *
+     * @return its state at this moment, as values that JSON can hold
+     */
+    public Map<String, Object> state() {
+        Map<String, Object> state = new LinkedHashMap<>();
+        state.put("entry", settings.id().value());
+        state.put("ready", isReady());
+        state.put("leaving", leaving);
+        state.put("configVersion", config.map(ServingConfig::version).orElse(0L));
+        state.put("callsInFlight", server.inFlight());
+        state.put("entriesAlive", mesh.alive());
+        state.put("planningEntry", mesh.entryFor(PlanningService.DUTY));
+        state.put("orderGroups", authority.state());
+        state.put("replicas", catalog.state());
+        return state;
+    }
+
     private void joinWhenReady() {
         if (leaving) {
             return;
@@ -261,7 +295,7 @@
         return budgets.computeIfAbsent(service, name -> new RepeatBudget(settings.repeats(), clocks.monotonic()));
     }
 
-    private List<GroupLease> leases(GatewaySettings settings, RevisionedStore store) {
+    private List<GroupLease> leases(GatewaySettings settings) {
         List<GroupLease> leases = new ArrayList<>();
         for (int group = 0; group < OrderGroups.COUNT; group++) {
             leases.add(new GroupLease(
@@ -271,13 +305,12 @@
     }
 
     private StoreFollower follower(
-            Ports ports,
             String prefix,
             Duration wait,
             Duration pause,
             Consumer<StoredObject> onChanged,
             Consumer<String> onDeleted) {
-        return new StoreFollower(prefix, wait, pause, ports.store, clocks.monotonic(), timers, onChanged, onDeleted);
+        return new StoreFollower(prefix, wait, pause, store, clocks.monotonic(), timers, onChanged, onDeleted);
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.ids.ModelName;
@@ -33,6 +34,7 @@
     private final Ejections ejections;
     private final Map<UpstreamId, ReplicaState> replicas = new HashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
+    private Predicate<UpstreamId> orderedHere = id -> false;
 
     /**
      * Creates an empty catalog.
@@ -54,6 +56,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Sets which replicas this entry orders. Of these its own orders and their reports alone tell what they hold.
+     *
+     * @param test checks a replica, not null
+     */
+    public void setOrderedHere(Predicate<UpstreamId> test) {
+        orderedHere = Objects.requireNonNull(test, "test");
+    }
+
     /**
      * Takes an entry of the list.
      *
@@ -74,7 +85,7 @@
             if (listed.draining() && !known.listed().draining()) {
                 LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service());
             }
-            update(known, "list entry", () -> known.onListed(listed));
+            update(known, "list entry", () -> known.onListed(listed, !orderedHere.test(listed.id())));
         }
         changed();
     }
@@ -98,7 +109,7 @@
      */
     public void onNotice(PeerMessage.ReplicaNotice notice) {
         ReplicaState replica = replicas.get(notice.replica());
-        if (replica != null) {
+        if (replica != null && !orderedHere.test(notice.replica())) {
             update(
                     replica,
                     "orders",
@@ -192,4 +203,25 @@
                 && !replica.listed().draining()
                 && ejections.mayGetCall(replica.id());
     }
+
+    /**
+     * Describes the replicas.
+     *
+     * @return a line for each, by id
+     */
+    public Map<String, String> state() {
+        Map<String, String> state = new HashMap<>();
+        replicas.values()
+                .forEach(r -> state.put(
+                        r.id().value(),
+                        "service %s, usable %s, in flight %d, orders %d, holds %s, loads %s"
+                                .formatted(
+                                        r.listed().service(),
+                                        isUsable(r),
+                                        r.inFlight(),
+                                        r.orders(),
+                                        r.residents(),
+                                        r.loading().map(ModelName::value).orElse("nothing"))));
+        return state;
+    }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -22,6 +22,7 @@
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.mesh.Mesh;
+import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.OrderDesk;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ServiceName;
@@ -106,9 +107,13 @@
                 entries,
                 clock,
                 context.timers,
-                answers);
+                answers,
+                context.metrics);
         this.reporter = new DemandReporter(forwarder, context.catalog, desk, context.mesh, clock, context.timers);
         context.catalog.onChange(forwarder::retryWaiting);
+        context.metrics.gauge("tarragonring.calls.in.flight", forwarder::inFlight);
+        context.metrics.gauge(
+                "tarragonring.calls.waiting", () -> forwarder.waiting().size());
     }
 
     /**
@@ -221,6 +226,7 @@
      * @param clock the monotonic clock, not null
      * @param timers runs time-outs, not null
      * @param random gives numbers from 0 to 1, not null
+     * @param metrics counts calls, not null
      */
     public record Context(
             Vertx vertx,
@@ -232,5 +238,6 @@
             Mesh mesh,
             MonotonicClock clock,
             Timers timers,
-            DoubleSupplier random) {}
+            DoubleSupplier random,
+            GatewayMetrics metrics) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -16,6 +16,7 @@
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.budget.RepeatBudget;
@@ -60,6 +61,7 @@
     private final Timers timers;
     private final Answers answers;
     private final WaitingCalls waiting = new WaitingCalls();
+    private final GatewayMetrics metrics;
     private final RunTimes runTimes;
     private final Attempt.Context context;
     private final Map<WeightKey, Integer> arrivals = new HashMap<>();
@@ -79,6 +81,7 @@
      * @param clock the monotonic clock, not null
      * @param timers runs time-outs, not null
      * @param answers writes this entry's own answers, not null
+     * @param metrics counts calls, not null
      */
     Forwarder(
             CallCodec codec,
@@ -90,7 +93,8 @@
             IntSupplier entries,
             MonotonicClock clock,
             Timers timers,
-            Answers answers) {
+            Answers answers,
+            GatewayMetrics metrics) {
         this.codec = Objects.requireNonNull(codec, "codec");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.picker = Objects.requireNonNull(picker, "picker");
@@ -101,6 +105,7 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.answers = Objects.requireNonNull(answers, "answers");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.runTimes = new RunTimes(clock);
         this.context = new Attempt.Context(codec, catalog, ejections, clock, runTimes, answers, this);
     }
@@ -201,6 +206,7 @@
     }
 
     private void send(Exchange exchange, ReplicaState replica) {
+        metrics.sent(clock.millis() - exchange.arrivedMillis);
         exchange.replica = replica;
         exchange.attempt++;
         long remainingMillis = exchange.endMillis - clock.millis();
@@ -300,6 +306,7 @@
         if (current != null) {
             current.connection().close();
         }
+        metrics.callEnded(exchange.route.name(), outcome, clock.millis() - exchange.arrivedMillis);
         Answers.log(exchange, clock.millis(), status, outcome, reason);
     }
 
@@ -310,6 +317,7 @@
 
     @Override
     public void onFirstEvent(Exchange exchange) {
+        metrics.firstEvent(clock.millis() - exchange.arrivedMillis);
         limitTo(exchange, exchange.endMillis);
     }
 
@@ -329,7 +337,8 @@
         }
     }
 
-    private static void logAttempt(Exchange exchange, Verdict verdict, String reason) {
+    private void logAttempt(Exchange exchange, Verdict verdict, String reason) {
+        metrics.attemptFailed(verdict.text());
         LogEvent.ATTEMPT_FAILED.logForCall(exchange.head.id(), exchange.replica.id(), verdict.text(), reason);
     }
 }
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/MeteredReplicaClient.java
@@ -0,0 +1,55 @@
+package org.tarragonring.gateway.metrics;
+
+import java.util.Locale;
+import java.util.Objects;
+
+import io.smallrye.mutiny.Uni;
+import org.tarragonring.gateway.call.Order;
+import org.tarragonring.gateway.call.ReplicaClient;
+import org.tarragonring.policy.replica.ListedReplica;
+import org.tarragonring.time.MonotonicClock;
+
+/**
+ * Counts reports and orders of replicas by outcome.
+ *
+ * @since 0.2.0
+ */
+public final class MeteredReplicaClient implements ReplicaClient {
+
+    private static final String PEER = "replica";
+
+    private final ReplicaClient client;
+    private final GatewayMetrics metrics;
+    private final MonotonicClock clock;
+
+    /**
+     * Creates a client that counts.
+     *
+     * @param client sends the requests, not null
+     * @param metrics counts them, not null
+     * @param clock tells how long they take, not null
+     */
+    public MeteredReplicaClient(ReplicaClient client, GatewayMetrics metrics, MonotonicClock clock) {
+        this.client = Objects.requireNonNull(client, "client");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    @Override
+    public Uni<Report> report(ListedReplica replica) {
+        long startMillis = clock.millis();
+        return client.report(replica)
+                .invoke(() -> metrics.requested(PEER, "report", "done", clock.millis() - startMillis))
+                .onFailure()
+                .invoke(() -> metrics.requested(PEER, "report", "failed", clock.millis() - startMillis));
+    }
+
+    @Override
+    public Uni<OrderReply> order(ListedReplica replica, Order order) {
+        long startMillis = clock.millis();
+        String request = (order.load() ? "load" : "unload") + (order.adapter().isEmpty() ? "" : "-adapter");
+        return client.order(replica, order)
+                .invoke(reply -> metrics.requested(
+                        PEER, request, reply.name().toLowerCase(Locale.ROOT), clock.millis() - startMillis));
+    }
+}
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latency histograms of a gateway. */
+package org.tarragonring.gateway.metrics;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderAuthority.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderAuthority.java
@@ -110,6 +110,30 @@
         return Optional.ofNullable(heard.get(group)).filter(this::isPresent).map(Heard::holder);
     }
 
+    /**
+     * Returns the number of groups that this entry holds.
+     *
+     * @return a count
+     */
+    public int heldGroups() {
+        return (int) leases.stream().filter(GroupLease::isHeld).count();
+    }
+
+    /**
+     * Describes who holds each group as far as is known.
+     *
+     * @return the holder or {@code nobody}, by group
+     */
+    public Map<Integer, String> state() {
+        Map<Integer, String> state = new HashMap<>();
+        for (int group = 0; group < leases.size(); group++) {
+            Heard last = heard.get(group);
+            String other = last != null && isPresent(last) ? last.holder.value() : "nobody";
+            state.put(group, leases.get(group).isHeld() ? self.value() : other);
+        }
+        return state;
+    }
+
     private void onNotice(EntryId from, PeerMessage.AuthorityNotice notice) {
         heard.values().removeIf(h -> h.holder.equals(from));
         for (int group : notice.groups()) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderDesk.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderDesk.java
@@ -71,6 +71,7 @@
 
     /** Starts to take requests of other entries. */
     public void start() {
+        catalog.setOrderedHere(replica -> authority.leaseOf(replica).isHeld());
         mesh.on(PeerMessage.LoadRequest.class, (from, request) -> carryOut(request));
         mesh.on(PeerMessage.ReplicaNotice.class, (from, notice) -> catalog.onNotice(notice));
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -394,7 +394,10 @@
         if (spec == null) {
             return false;
         }
-        double used = 0;
+        double used = replica.loading()
+                .map(engine.models()::get)
+                .map(ModelSpec::weightsMegabytes)
+                .orElse(0.0);
         for (ModelName resident : replica.residents().keySet()) {
             ModelSpec other = engine.models().get(resident);
             used += other == null ? engine.weightsMegabytes() : other.weightsMegabytes();
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -60,10 +60,18 @@
      * Takes what the list says.
      *
      * @param update a newer entry of the list, not null
+     * @param residentsCount whether to believe what it says of residents; not where this entry orders the replica, as
+     *     the list may be many seconds late while the store is in trouble
      */
-    public void onListed(ListedReplica update) {
+    public void onListed(ListedReplica update, boolean residentsCount) {
         listed = update;
-        onHoldings(update.holdings());
+        Holdings holdings = update.holdings();
+        if (residentsCount || holdings.bornMillis() > bornMillis) {
+            onHoldings(holdings);
+        } else if (holdings.bornMillis() == bornMillis) {
+            inMemory = holdings.inMemory();
+            onDisk = holdings.onDisk();
+        }
     }
 
     /**
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -33,7 +33,7 @@
         state.onOrders(BORN, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 6_000);
         nowMillis += 6_000;
 
-        state.onListed(listed(BORN, Set.of(BUSY, RARE)));
+        state.onListed(listed(BORN, Set.of(BUSY, RARE)), true);
         state.onHoldings(holdings(BORN, 1, Set.of(BUSY)));
 
         assertTrue(state.holds(RARE, ""), "the report was older than the entry of the list");
@@ -66,7 +66,7 @@
         state.onOrders(BORN, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
         nowMillis += ReplicaState.LIST_LAG_MILLIS - 1;
 
-        state.onListed(listed(BORN, Set.of(BUSY)));
+        state.onListed(listed(BORN, Set.of(BUSY)), true);
 
         assertTrue(state.holds(RARE, ""));
         assertFalse(state.holds(BUSY, ""));
@@ -77,17 +77,36 @@
         state.onOrders(BORN, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
         nowMillis += ReplicaState.LIST_LAG_MILLIS;
 
-        state.onListed(listed(BORN, Set.of(BUSY)));
+        state.onListed(listed(BORN, Set.of(BUSY)), true);
 
         assertTrue(state.holds(BUSY, ""));
         assertFalse(state.holds(RARE, ""));
     }
 
+    @Test
+    void lateListDoesNotMoveTheOneWhoOrders() {
+        state.onOrders(BORN, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
+        nowMillis += 60_000;
+
+        state.onListed(listed(BORN, Set.of()), false);
+
+        assertTrue(state.holds(RARE, ""), "the list was late; one more load would not have fitted");
+    }
+
+    @Test
+    void restartMovesEvenTheOneWhoOrders() {
+        state.onOrders(BORN, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
+
+        state.onListed(listed(BORN + 1, Set.of()), false);
+
+        assertFalse(state.holds(RARE, ""));
+    }
+
     @Test
     void restartForgetsWhatWasHeld() {
         state.onOrders(BORN, 5, Map.of(BUSY, Set.of("a1")), Optional.of(RARE), nowMillis + 500);
 
-        state.onListed(listed(BORN + 1, Set.of()));
+        state.onListed(listed(BORN + 1, Set.of()), true);
 
         assertEquals(Map.of(), state.residents());
         assertEquals(Optional.empty(), state.loading());
