--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -156,12 +156,7 @@
                 object -> ports.replicaDecoder.apply(object).ifPresent(catalog::put),
                 key -> catalog.remove(new UpstreamId(key.substring(ports.replicaPrefix.length()))));
         this.configDecoder = ports.configDecoder;
-        metrics.gauge(
-                "tarragonring.config.version",
-                () -> config.map(ServingConfig::version).orElse(0L));
-        metrics.gauge("tarragonring.entries.alive", () -> mesh.alive().size());
-        metrics.gauge("tarragonring.order.groups.held", authority::heldGroups);
-        metrics.gauge("tarragonring.replicas.listed", () -> catalog.all().size());
+        registerGauges(metrics);
     }
 
     /**
@@ -251,6 +246,15 @@
         return state;
     }
 
+    private void registerGauges(GatewayMetrics metrics) {
+        metrics.gauge(
+                "tarragonring.config.version",
+                () -> config.map(ServingConfig::version).orElse(0L));
+        metrics.gauge("tarragonring.entries.alive", () -> mesh.alive().size());
+        metrics.gauge("tarragonring.order.groups.held", authority::heldGroups);
+        metrics.gauge("tarragonring.replicas.listed", () -> catalog.all().size());
+    }
+
     private void joinWhenReady() {
         if (leaving) {
             return;
