Eject replicas that cannot be reached at once, and tell the planner of them

Cause: two failures were needed before a silent replica was avoided, each a connection time-out of 400 ms, and the planner still counted what it held as resident, so calls waited until the list dropped it.

--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -94,12 +94,14 @@
      * Tells the planning entry how much the sender needs each model.
      *
      * @param demands one item for each model or adapter in demand, not null
+     * @param unreachable the replicas that the sender cannot use though the list names them, not null
      */
-    record DemandReport(List<WeightDemand> demands) implements PeerMessage {
+    record DemandReport(List<WeightDemand> demands, List<UpstreamId> unreachable) implements PeerMessage {
 
-        /** Copies the list. */
+        /** Copies the lists. */
         public DemandReport {
             demands = List.copyOf(demands);
+            unreachable = List.copyOf(unreachable);
         }
     }
 
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/ServingCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/ServingCodec.java
@@ -24,8 +24,13 @@
 
     static WireBody toWire(PeerMessage message) {
         if (message instanceof PeerMessage.DemandReport report) {
-            return WireBody.demandReport(new WireDemandReport(
-                    report.demands().stream().map(ServingCodec::toWire).toList()));
+            WireDemandReport wire = new WireDemandReport(
+                    report.demands().stream().map(ServingCodec::toWire).toList());
+            if (!report.unreachable().isEmpty()) {
+                wire.setUnreachable(
+                        report.unreachable().stream().map(UpstreamId::value).toList());
+            }
+            return WireBody.demandReport(wire);
         }
         if (message instanceof PeerMessage.LoadRequest request) {
             return WireBody.loadRequest(new WireLoadRequest(
@@ -54,10 +59,7 @@
 
     static PeerMessage fromWire(WireBody body) {
         return switch (body.getSetField()) {
-            case DEMAND_REPORT ->
-                new PeerMessage.DemandReport(body.getDemandReport().getDemands().stream()
-                        .map(ServingCodec::fromWire)
-                        .toList());
+            case DEMAND_REPORT -> fromWire(body.getDemandReport());
             case LOAD_REQUEST -> {
                 WireLoadRequest request = body.getLoadRequest();
                 yield new PeerMessage.LoadRequest(
@@ -84,6 +86,13 @@
                 demand.slackMillis());
     }
 
+    private static PeerMessage.DemandReport fromWire(WireDemandReport wire) {
+        List<String> unreachable = wire.isSetUnreachable() ? wire.getUnreachable() : List.of();
+        return new PeerMessage.DemandReport(
+                wire.getDemands().stream().map(ServingCodec::fromWire).toList(),
+                unreachable.stream().map(UpstreamId::new).toList());
+    }
+
     private static PeerMessage.WeightDemand fromWire(WireWeightDemand wire) {
         return new PeerMessage.WeightDemand(
                 wire.getServiceName(),
--- a/tarragonring-core/src/main/java/org/tarragonring/routing/Ejections.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/routing/Ejections.java
@@ -64,6 +64,17 @@
         states.compute(upstream, (id, old) -> next(id, old == null ? 1 : old.failures + 1));
     }
 
+    /**
+     * Counts an upstream that could not be reached, which needs no second try to be believed.
+     *
+     * @param upstream the upstream, not null
+     */
+    public void unreachable(UpstreamId upstream) {
+        states.compute(
+                upstream,
+                (id, old) -> next(id, Math.max(FAILURES_BEFORE_EJECTION, old == null ? 0 : old.failures + 1)));
+    }
+
     private State next(UpstreamId upstream, int failures) {
         if (failures < FAILURES_BEFORE_EJECTION) {
             return new State(failures, Long.MIN_VALUE);
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -80,6 +80,7 @@
 
 struct WireDemandReport {
   1: required list<WireWeightDemand> demands
+  2: optional list<string> unreachable
 }
 
 /** Asks the entry that holds a replica's order lease to make a model resident. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -180,6 +180,17 @@
                 .toList();
     }
 
+    /**
+     * Returns the replicas that the list names as usable and that fail here.
+     *
+     * @return their ids
+     */
+    public List<UpstreamId> failing() {
+        return replicas.keySet().stream()
+                .filter(id -> !replicas.get(id).listed().draining() && !ejections.mayGetCall(id))
+                .toList();
+    }
+
     /**
      * Returns the replicas that can run a call now.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -16,6 +16,7 @@
 import org.tarragonring.home.Rendezvous;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
@@ -110,11 +111,13 @@
                             0,
                             forwarder.runTimes().residualMillis(replica.id(), model))));
         }
-        if (demands.isEmpty() && reportedNothing) {
+        List<UpstreamId> unreachable = catalog.failing();
+        boolean isNothing = demands.isEmpty() && unreachable.isEmpty();
+        if (isNothing && reportedNothing) {
             return;
         }
-        reportedNothing = demands.isEmpty();
-        mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(demands));
+        reportedNothing = isNothing;
+        mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(demands, unreachable));
     }
 
     private void addWaiting(Map<ModelKey, Totals> totals, WeightKey key) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -230,7 +230,7 @@
         if (exchange.finished || exchange.attempt != attempt) {
             return;
         }
-        ejections.failed(replica.id());
+        ejections.unreachable(replica.id());
         logAttempt(exchange, Verdict.NOT_RUN, "no connection: " + failure.getMessage());
         exchange.avoided.add(replica.id());
         exchange.rejections++;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
@@ -49,10 +49,11 @@
      *
      * @param from the entry, not null
      * @param demands its demands, not null
+     * @param unreachable the replicas that it cannot use, not null
      */
-    public void report(EntryId from, List<WeightDemand> demands) {
+    public void report(EntryId from, List<WeightDemand> demands, List<UpstreamId> unreachable) {
         long now = clock.millis();
-        reports.put(from, new Report(now, List.copyOf(demands)));
+        reports.put(from, new Report(now, List.copyOf(demands), List.copyOf(unreachable)));
         for (WeightDemand demand : demands) {
             if (demand.arrivals() > 0) {
                 rates.computeIfAbsent(key(demand), key -> new Rate(now)).add(now, demand.arrivals());
@@ -106,6 +107,19 @@
         return running;
     }
 
+    /**
+     * Checks if entries say that they cannot use a replica.
+     *
+     * @param replica the replica, not null
+     * @return true if at least half of those that reported say so
+     */
+    public boolean isUnreachable(UpstreamId replica) {
+        long complaints = reports.values().stream()
+                .filter(report -> report.unreachable.contains(replica))
+                .count();
+        return complaints > 0 && complaints * 2 >= reports.size();
+    }
+
     private static ModelNeed need(WeightDemand demand, long ageMillis) {
         long slackMillis = demand.waiting() > 0 ? demand.slackMillis() - ageMillis : Long.MAX_VALUE;
         return new ModelNeed(demand.model(), demand.waiting(), demand.running(), 0, slackMillis);
@@ -126,7 +140,7 @@
 
     private record ModelKey(ServiceName service, ModelName model) {}
 
-    private record Report(long atMillis, List<WeightDemand> demands) {}
+    private record Report(long atMillis, List<WeightDemand> demands, List<UpstreamId> unreachable) {}
 
     /** A rate that decays exponentially. */
     private static final class Rate {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -98,7 +98,7 @@
     /** Starts to collect demand and to plan. */
     public void start() {
         mesh.on(PeerMessage.DemandReport.class, (from, report) -> {
-            book.report(from, report.demands());
+            book.report(from, report.demands(), report.unreachable());
             if (report.demands().stream().anyMatch(demand -> demand.waiting() > 0)) {
                 plan();
             }
@@ -127,6 +127,7 @@
         decided.values().removeIf(decision -> now >= decision.untilMillis);
         Map<UpstreamId, Map<ModelName, RunningCalls>> running = book.running();
         List<ReplicaView> views = catalog.usable(service).stream()
+                .filter(replica -> !book.isUnreachable(replica.id()))
                 .map(replica -> view(replica, running.getOrDefault(replica.id(), Map.of()), now))
                 .toList();
         Map<ModelName, ModelNeed> needs = book.needs(service);
