--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -151,8 +151,9 @@
      * Names the order groups whose leases the sender holds.
      *
      * @param groups the groups, not null
+     * @param withoutStore whether the sender cannot reach the store, so that what it knows of replicas is old
      */
-    record AuthorityNotice(List<Integer> groups) implements PeerMessage {
+    record AuthorityNotice(List<Integer> groups, boolean withoutStore) implements PeerMessage {
 
         /** Copies the list. */
         public AuthorityNotice {
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/ServingCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/ServingCodec.java
@@ -52,7 +52,11 @@
                     notice.loadingMillis()));
         }
         if (message instanceof PeerMessage.AuthorityNotice notice) {
-            return WireBody.authorityNotice(new WireAuthorityNotice(notice.groups()));
+            WireAuthorityNotice wire = new WireAuthorityNotice(notice.groups());
+            if (notice.withoutStore()) {
+                wire.setWithoutStore(true);
+            }
+            return WireBody.authorityNotice(wire);
         }
         throw new IllegalArgumentException("message %s has no wire form".formatted(message));
     }
@@ -70,7 +74,9 @@
             }
             case REPLICA_NOTICE -> fromWire(body.getReplicaNotice());
             case AUTHORITY_NOTICE ->
-                new PeerMessage.AuthorityNotice(body.getAuthorityNotice().getGroups());
+                new PeerMessage.AuthorityNotice(
+                        body.getAuthorityNotice().getGroups(),
+                        body.getAuthorityNotice().isWithoutStore());
             default -> throw new IllegalArgumentException("the message has no known body");
         };
     }
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -106,9 +106,10 @@
   6: required i64 loadingMillis
 }
 
-/** Names the order groups that the sender holds. */
+/** Names the order groups that the sender holds, and whether it is without the store. */
 struct WireAuthorityNotice {
   1: required list<i32> groups
+  2: optional bool withoutStore
 }
 
 union WireBody {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -59,7 +59,7 @@
     private static final Duration CONFIG_WATCH = Duration.ofSeconds(20);
 
     /** How long a watch of the replicas waits; a connection that went silent is noticed a little later. */
-    private static final Duration REPLICA_WATCH = Duration.ofMillis(4_000);
+    private static final Duration REPLICA_WATCH = Duration.ofMillis(2_500);
 
     /** How long changes of replicas are gathered: below the time within which a leaving replica must get no more work. */
     private static final Duration REPLICA_BATCH = Duration.ofMillis(700);
@@ -108,7 +108,13 @@
         this.mesh = new Mesh(settings, vertx, store, clocks.monotonic(), clocks.wall(), timers, random);
         this.catalog = new ReplicaCatalog(clocks.monotonic(), ejections);
         this.authority = new OrderAuthority(
-                settings.id(), mesh, leases(settings), settings.orderTurn(), clocks.monotonic(), timers);
+                settings.id(),
+                mesh,
+                leases(settings),
+                settings.orderTurn(),
+                this::reachesStore,
+                clocks.monotonic(),
+                timers);
         this.desk = new OrderDesk(
                 settings.id(),
                 authority,
@@ -268,6 +274,10 @@
         }
     }
 
+    private boolean reachesStore() {
+        return replicaFollower.isReached();
+    }
+
     private boolean mayServe() {
         return config.isPresent() && replicaFollower.isListed();
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
@@ -51,7 +51,12 @@
     /** The pause between attempts to register while the store does not answer. */
     private static final Duration REGISTER_PERIOD = Duration.ofMillis(700);
 
+    /** How long an entry's word that it is without the store holds; it repeats it more often. */
+    private static final Duration WITHOUT_STORE_LIFETIME = Duration.ofMillis(2_000);
+
     private final GatewaySettings settings;
+    private final MonotonicClock clock;
+    private final Map<EntryId, Long> withoutStoreUntilMillis = new HashMap<>();
     private final ObjectStore store;
     private final Timers timers;
     private final UdpLink link;
@@ -82,6 +87,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.store = Objects.requireNonNull(store, "store");
         this.timers = Objects.requireNonNull(timers, "timers");
+        this.clock = Objects.requireNonNull(clock, "clock");
         this.link = new UdpLink(vertx, new DatagramCodec(settings.peerKey()));
         this.table = new MemberTable(new Member(
                 settings.id(),
@@ -184,19 +190,41 @@
     }
 
     /**
-     * Chooses the entry that does a duty.
+     * Chooses the entry that does a duty, preferably one that reaches the store.
      *
      * @param duty names the duty, not null
      * @return the same entry on all that see the same members; this one if it sees none
      */
     public EntryId entryFor(String duty) {
-        List<Member> members = alive();
-        if (members.isEmpty()) {
+        List<Member> alive = alive();
+        if (alive.isEmpty()) {
             return settings.id();
         }
+        List<Member> informed =
+                alive.stream().filter(member -> !isWithoutStore(member.id())).toList();
+        List<Member> members = informed.isEmpty() ? alive : informed;
         return Rendezvous.rank(duty, members, m -> m.id().value()).get(0).id();
     }
 
+    /**
+     * Notes that an entry cannot reach the store, or can again.
+     *
+     * @param id the entry, not null
+     * @param withoutStore whether it cannot
+     */
+    public void setWithoutStore(EntryId id, boolean withoutStore) {
+        if (withoutStore) {
+            withoutStoreUntilMillis.put(id, clock.millis() + WITHOUT_STORE_LIFETIME.toMillis());
+        } else {
+            withoutStoreUntilMillis.remove(id);
+        }
+    }
+
+    private boolean isWithoutStore(EntryId id) {
+        Long untilMillis = withoutStoreUntilMillis.get(id);
+        return untilMillis != null && clock.millis() < untilMillis;
+    }
+
     private void register(byte[] value, long expectedVersion) {
         store.write(ENTRY_PREFIX + settings.id(), expectedVersion, value)
                 .subscribe()
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderAuthority.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderAuthority.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.ids.EntryId;
@@ -38,6 +39,7 @@
     private final Mesh mesh;
     private final List<GroupLease> leases;
     private final Duration turn;
+    private final BooleanSupplier storeReached;
     private final MonotonicClock clock;
     private final Timers timers;
     private final Map<Integer, Heard> heard = new HashMap<>();
@@ -46,6 +48,7 @@
     private long startedMillis;
     private long announcedMillis;
     private boolean leaving;
+    private boolean saidWithoutStore;
     private Timers.Task ticking = () -> {};
 
     /**
@@ -55,15 +58,23 @@
      * @param mesh the other entries, not null
      * @param leases the lease of each group, not null
      * @param turn the least time between orders of two holders, not null
+     * @param storeReached tells whether this entry reaches the store, not null
      * @param clock the monotonic clock, not null
      * @param timers runs periodic work, not null
      */
     public OrderAuthority(
-            EntryId self, Mesh mesh, List<GroupLease> leases, Duration turn, MonotonicClock clock, Timers timers) {
+            EntryId self,
+            Mesh mesh,
+            List<GroupLease> leases,
+            Duration turn,
+            BooleanSupplier storeReached,
+            MonotonicClock clock,
+            Timers timers) {
         this.self = Objects.requireNonNull(self, "self");
         this.mesh = Objects.requireNonNull(mesh, "mesh");
         this.leases = List.copyOf(leases);
         this.turn = Objects.requireNonNull(turn, "turn");
+        this.storeReached = Objects.requireNonNull(storeReached, "storeReached");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
     }
@@ -135,6 +146,7 @@
     }
 
     private void onNotice(EntryId from, PeerMessage.AuthorityNotice notice) {
+        mesh.setWithoutStore(from, notice.withoutStore());
         heard.values().removeIf(h -> h.holder.equals(from));
         for (int group : notice.groups()) {
             heard.put(group, new Heard(from, clock.millis()));
@@ -165,9 +177,13 @@
                 held.add(group);
             }
         }
-        if (!held.isEmpty() && !leaving) {
-            mesh.broadcast(new PeerMessage.AuthorityNotice(held));
+        boolean withoutStore = !storeReached.getAsBoolean();
+        mesh.setWithoutStore(self, withoutStore);
+        boolean isNews = !held.isEmpty() || withoutStore != saidWithoutStore || withoutStore;
+        if (isNews && !leaving) {
+            mesh.broadcast(new PeerMessage.AuthorityNotice(held, withoutStore));
         }
+        saidWithoutStore = withoutStore;
     }
 
     private boolean isMine(int group) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -49,6 +49,9 @@
     /** How long a decided load counts as under way without a word of the replica's orders. */
     private static final Duration DECISION_LIFETIME = Duration.ofMillis(4_000);
 
+    /** What is expected of an order that should have ended just now. */
+    private static final long MIN_OVERDUE_MILLIS = 300;
+
     private final EntryId self;
     private final Mesh mesh;
     private final ReplicaCatalog catalog;
@@ -142,15 +145,20 @@
             decision = null;
         }
         Optional<ModelName> underWay = replica.loading();
-        long freeInMillis = underWay.isPresent() ? Math.max(0, replica.loadingUntilMillis() - now) : 0;
+        long freeInMillis = underWay.isPresent() ? untilFree(replica.loadingUntilMillis(), now) : 0;
         if (underWay.isEmpty() && decision != null) {
             underWay = Optional.of(decision.model);
-            freeInMillis = Math.max(0, decision.expectedMillis - now);
+            freeInMillis = untilFree(decision.expectedMillis, now);
         }
         boolean orderable = authority.holderOf(replica.id()).isPresent();
         return new ReplicaView(replica, running, underWay, freeInMillis, orderable);
     }
 
+    /** Estimates when an order ends; the longer it is overdue, the longer it is expected to go on. */
+    private static long untilFree(long expectedMillis, long now) {
+        return expectedMillis > now ? expectedMillis - now : MIN_OVERDUE_MILLIS + (now - expectedMillis);
+    }
+
     private void start(PlacementMove move, Map<ModelName, ModelNeed> needs) {
         int waiting = Optional.ofNullable(needs.get(move.model()))
                 .map(ModelNeed::waiting)
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
@@ -29,6 +29,9 @@
     /** What a call that misses its objective counts, as waiting. */
     private static final double MISSED_CALL_MILLIS = 3_000;
 
+    /** What a millisecond counts in which a replica waits for runs to end: it can load nothing else meanwhile. */
+    private static final double BLOCKED_WEIGHT = 1.5;
+
     /** What losing one of several replicas costs for each call a second, as waiting. */
     private static final double CROWDING_MILLIS = 400;
 
@@ -68,7 +71,7 @@
     /** Returns what giving up a model on a replica costs. */
     double priceOf(ReplicaView replica, ModelName model) {
         ModelNeed need = need(model);
-        double price = replica.residualMillis(model);
+        double price = BLOCKED_WEIGHT * replica.residualMillis(model);
         int left = copies(model) - 1;
         if (left <= 0) {
             if (need.waiting() > 0) {
