Send an order without an answer again at once, and tell news of replicas twice

Cause: with a third of the orders unanswered (applied_late) each cost 1.2 s of waiting; the expected number of orders makes the repetition safe. A crashed replica was ordered for 6 s; now five orders without an answer end it.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -22,8 +22,11 @@
     private static final int MISDIRECTED = 421;
     private static final int SERVER_ERROR = 500;
 
-    /** How long a replica is not asked for what it said it does not hold; a load under way may end meanwhile. */
-    private static final long ABSENT_MILLIS = 60;
+    /** How long a replica is not asked for an adapter that it said it does not hold; its load may end meanwhile. */
+    private static final long ABSENT_ADAPTER_MILLIS = 60;
+
+    /** How long it is not asked for a model, unless there is news of its orders; the list takes a second or two. */
+    private static final long ABSENT_MODEL_MILLIS = 1_500;
 
     private final Context context;
     private final Exchange exchange;
@@ -131,11 +134,16 @@
         if (head.otherReplica()) {
             context.catalog.remove(replica.id());
         } else if (status == MISDIRECTED) {
-            exchange.weights.ifPresent(key -> replica.onAbsent(key.model(), key.adapter(), ABSENT_MILLIS));
+            exchange.weights.ifPresent(this::noteAbsent);
         }
         failed(Verdict.NOT_RUN, "the replica rejected the call with status " + status);
     }
 
+    private void noteAbsent(WeightKey key) {
+        long forMillis = key.adapter().isEmpty() ? ABSENT_MODEL_MILLIS : ABSENT_ADAPTER_MILLIS;
+        replica.onAbsent(key.model(), key.adapter(), forMillis);
+    }
+
     private void succeeded(int status, String reason) {
         boolean isCurrent = exchange.current == request;
         if (!end(status / 100 == 2)) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -48,12 +48,15 @@
     /** The pause between questions for the end of a load that takes longer than expected. */
     private static final Duration LOAD_POLL = Duration.ofMillis(60);
 
+    /** When news of a replica is repeated. */
+    private static final Duration REPEAT_NOTICE = Duration.ofMillis(150);
+
+    /** How many orders in a row may stay without an answer; the replica is gone then, or cut off. */
+    private static final int MAX_UNANSWERED = 5;
+
     /** How long an adapter takes from its order until calls can use it: the longest that deployments give, and the way. */
     private static final Duration ADAPTER_LOAD = Duration.ofMillis(12);
 
-    /** The pause before the replica is asked what became of an order without an answer. */
-    private static final Duration UNKNOWN_PAUSE = Duration.ofMillis(400);
-
     /** How often one order is tried; the planner asks again for what is still wanted. */
     private static final int MAX_TRIES = 30;
 
@@ -75,6 +78,14 @@
     /** The fencing number of the lease under which all that the replica holds and does is known, 0 if it is not. */
     private long settledFence;
 
+    /**
+     * The orders in a row that got no answer. Each is sent again at once: if it was accepted after all, the number of orders
+     * differs and the repetition is refused; if it still comes, it is refused itself.
+     */
+    private int unanswered;
+
+    private boolean repeating;
+
     private final Lane models = new Lane();
     private final Lane adapters = new Lane();
 
@@ -120,6 +131,7 @@
             return;
         }
         lane.running = true;
+        unanswered = 0;
         Uni<Boolean> work =
                 lane == models ? loadModel(replica, request, engine) : loadAdapter(replica, request, engine);
         work.subscribe().with(done -> finished(lane, engine), failure -> {
@@ -247,6 +259,7 @@
     private Uni<Optional<Boolean>> onReply(ReplicaState replica, Order order, OrderReply reply, int tries) {
         switch (reply) {
             case ACCEPTED -> {
+                unanswered = 0;
                 apply(replica, order, replica.orders() + 1);
                 return ended(true);
             }
@@ -258,15 +271,17 @@
                 return refresh(replica).map(done -> Optional.of(true));
             }
             case CONFLICT -> {
-                return tries % TRIES_BEFORE_REPORT == 0
+                settledFence = unanswered > 0 ? 0 : settledFence;
+                unanswered = 0;
+                return settledFence == 0 || tries % TRIES_BEFORE_REPORT == 0
                         ? refresh(replica).map(done -> Optional.empty())
                         : Uni.createFrom().item(Optional.empty());
             }
             case UNKNOWN -> {
-                settledFence = 0;
-                return delays.after(UNKNOWN_PAUSE)
-                        .flatMap(waited -> refresh(replica))
-                        .map(done -> Optional.empty());
+                unanswered++;
+                return unanswered > MAX_UNANSWERED
+                        ? ended(false)
+                        : Uni.createFrom().item(Optional.empty());
             }
             case FENCED -> {
                 lease.lost("replica " + id + " has seen a newer holder");
@@ -318,9 +333,9 @@
         }
         if (order.load() && !order.adapter().isEmpty()) {
             replica.onAbsent(order.model(), order.adapter(), ADAPTER_LOAD.toMillis());
-            delays.after(ADAPTER_LOAD).subscribe().with(done -> announce(replica, Duration.ZERO));
+            delays.after(ADAPTER_LOAD).subscribe().with(done -> announce(replica));
         } else {
-            announce(replica, Duration.ZERO);
+            announce(replica);
         }
     }
 
@@ -332,7 +347,7 @@
                 replica.residents(),
                 Optional.of(spec.name()),
                 clock.millis() + expected.toMillis());
-        announce(replica, expected);
+        announce(replica);
         int[] tries = {0};
         return delays.after(expected)
                 .flatMap(waited -> delays.until(
@@ -366,7 +381,7 @@
                     if (isNews && report.holdings().orders() >= replica.orders()) {
                         settledFence = report.busy() ? 0 : lease.fence();
                     }
-                    announce(replica, Duration.ZERO);
+                    announce(replica);
                 })
                 .replaceWithVoid()
                 .onFailure()
@@ -376,17 +391,27 @@
                 });
     }
 
-    private void announce(ReplicaState replica, Duration loadingTime) {
+    /** Tells all entries, and once more a little later, since datagrams get lost. */
+    private void announce(ReplicaState replica) {
         catalog.changed();
-        announcer.accept(new PeerMessage.ReplicaNotice(
+        announcer.accept(notice(replica));
+        if (!repeating) {
+            repeating = true;
+            delays.after(REPEAT_NOTICE).subscribe().with(done -> {
+                repeating = false;
+                announcer.accept(notice(replica));
+            });
+        }
+    }
+
+    private PeerMessage.ReplicaNotice notice(ReplicaState replica) {
+        return new PeerMessage.ReplicaNotice(
                 id,
                 replica.bornMillis(),
                 replica.orders(),
                 replica.residents(),
                 replica.loading(),
-                loadingTime.isZero()
-                        ? Math.max(0, replica.loadingUntilMillis() - clock.millis())
-                        : loadingTime.toMillis()));
+                Math.max(0, replica.loadingUntilMillis() - clock.millis()));
     }
 
     private static boolean fits(ReplicaState replica, ModelName model, EngineSpec engine) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandBook.java
@@ -111,13 +111,13 @@
      * Checks if entries say that they cannot use a replica.
      *
      * @param replica the replica, not null
-     * @return true if at least half of those that reported say so
+     * @return true if two of those that reported say so, or half of them
      */
     public boolean isUnreachable(UpstreamId replica) {
         long complaints = reports.values().stream()
                 .filter(report -> report.unreachable.contains(replica))
                 .count();
-        return complaints > 0 && complaints * 2 >= reports.size();
+        return complaints >= 2 || complaints > 0 && complaints * 2 >= reports.size();
     }
 
     private static ModelNeed need(WeightDemand demand, long ageMillis) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -46,8 +46,8 @@
 
     private static final Duration PERIOD = Duration.ofMillis(100);
 
-    /** How long a decided load counts as under way without a word of the replica's orders. */
-    private static final Duration DECISION_LIFETIME = Duration.ofMillis(4_000);
+    /** How much longer than expected a decided load counts as under way without a word of the replica's orders. */
+    private static final Duration DECISION_MARGIN = Duration.ofMillis(1_500);
 
     /** What is expected of an order that should have ended just now. */
     private static final long MIN_OVERDUE_MILLIS = 300;
@@ -169,7 +169,7 @@
                 new Decided(
                         move.model(),
                         clock.millis() + move.expectedMillis(),
-                        clock.millis() + DECISION_LIFETIME.toMillis()));
+                        clock.millis() + move.expectedMillis() + DECISION_MARGIN.toMillis()));
         desk.request(new PeerMessage.LoadRequest(move.replica(), move.model(), "", move.evict()));
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -149,6 +149,9 @@
         if (newBornMillis < bornMillis || newBornMillis == bornMillis && newOrders < orders) {
             return;
         }
+        if (newOrders > orders || newBornMillis > bornMillis) {
+            absentUntilMillis.clear();
+        }
         bornMillis = newBornMillis;
         orders = newOrders;
         leaving = leaving.filter(model -> !newLoading.equals(Optional.of(model)) && !newResidents.containsKey(model));
@@ -336,6 +339,7 @@
     private void restart(Holdings holdings) {
         bornMillis = holdings.bornMillis();
         orders = holdings.orders();
+        absentUntilMillis.clear();
         residents.clear();
         holdings.residents().forEach(this::addResident);
         inMemory = holdings.inMemory();
