Refuse calls without anything under way while their callers still wait

Cause: calls whose model nobody was loading were held until their callers gave up, who then do not come back; refused as not run at 45 in 100 of their patience they return once and have a second chance. A model that no configuration names is refused at once.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -25,11 +25,13 @@
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.OrderDesk;
 import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.budget.RepeatBudget;
 import org.tarragonring.policy.config.RequestLimits;
 import org.tarragonring.policy.config.Route;
+import org.tarragonring.policy.config.ServiceSpec;
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
@@ -178,6 +180,15 @@
         }
         readBody(request, inForce.limits().maxBodyBytes(), body -> {
             ServiceName service = route.get().serviceAt(random.getAsDouble());
+            if (head.model().isPresent()
+                    && !isKnown(inForce, service, head.model().get())) {
+                refuseEarly(
+                        request,
+                        head,
+                        "service %s has no model %s"
+                                .formatted(service, head.model().get()));
+                return;
+            }
             long keptMillis = Math.min(
                     head.deadline().orElse(route.get().timeout()).toMillis(),
                     route.get().timeout().toMillis());
@@ -194,6 +205,13 @@
         });
     }
 
+    private static boolean isKnown(ServingConfig config, ServiceName service, ModelName model) {
+        return config.findService(service)
+                .flatMap(ServiceSpec::engine)
+                .map(engine -> engine.models().containsKey(model))
+                .orElse(true);
+    }
+
     private void refuseEarly(HttpServerRequest request, CallHead head, String reason) {
         LogEvent.CALL_REFUSED.logForCall(head.id(), "not-ready", "not-run", reason);
         answers.refuse(request, reason, RETRY_AFTER_NOT_READY_MILLIS);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -37,6 +37,7 @@
     int attempt;
     int runs;
     int rejections;
+    boolean chanceChecked;
     boolean answering;
     boolean finished;
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -47,6 +47,12 @@
     /** The time below which sending a call on makes no sense. */
     private static final long MIN_REMAINING_MILLIS = 15;
 
+    /** When a waiting call is refused if nothing is under way for it, as a share of its caller's patience. */
+    private static final double CHANCE_CHECK_SHARE = 0.45;
+
+    /** The least time from a model's load to the first event of a call. */
+    private static final long MIN_SERVICE_MILLIS = 100;
+
     /** What callers are told when nothing is known about when a place is free. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
@@ -195,6 +201,12 @@
 
     private void park(Exchange exchange) {
         waiting.add(exchange);
+        if (!exchange.chanceChecked) {
+            exchange.chanceChecked = true;
+            long patienceMillis = exchange.firstEventMillis - exchange.arrivedMillis;
+            long checkMillis = exchange.arrivedMillis + (long) (patienceMillis * CHANCE_CHECK_SHARE);
+            timers.schedule(Duration.ofMillis(checkMillis - clock.millis()), () -> refuseWithoutChance(exchange));
+        }
         WeightKey key = exchange.weights.orElseThrow();
         LogEvent.CALL_WAITS.logForCall(
                 exchange.head.id(),
@@ -205,6 +217,24 @@
         onWaiting.run();
     }
 
+    /**
+     * Refuses a call for which nothing is under way while its caller still has the time to come back, since a caller
+     * that is held until it gives up does not.
+     */
+    private void refuseWithoutChance(Exchange exchange) {
+        if (exchange.finished || exchange.answering || !waiting.contains(exchange)) {
+            return;
+        }
+        WeightKey key = exchange.weights.orElseThrow();
+        long latestMillis = exchange.firstEventMillis - MIN_SERVICE_MILLIS;
+        boolean isUnderWay = catalog.usable(key.service()).stream()
+                .anyMatch(replica -> replica.loading().equals(Optional.of(key.model()))
+                        && replica.loadingUntilMillis() <= latestMillis);
+        if (!isUnderWay) {
+            refuse(exchange, "nothing is under way for model %s %s".formatted(key.model(), key.adapter()));
+        }
+    }
+
     private void send(Exchange exchange, ReplicaState replica) {
         metrics.sent(clock.millis() - exchange.arrivedMillis);
         exchange.replica = replica;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/WaitingCalls.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/WaitingCalls.java
@@ -29,6 +29,11 @@
         }));
     }
 
+    /** Checks if a call waits. */
+    boolean contains(Exchange exchange) {
+        return exchange.weights.map(key -> waitingFor(key).contains(exchange)).orElse(false);
+    }
+
     /** Takes all calls that wait for something, the most urgent first. */
     List<Exchange> take(WeightKey key) {
         Set<Exchange> waiting = calls.remove(key);
