Explain a call from saved logs, and keep calls for adapters that are about to be loaded

Room beside a busy model is left alone now, and a call whose model is resident is not refused for want of a load.

--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/Main.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/Main.java
@@ -29,6 +29,7 @@
             ResolveCommand.class,
             CallCommand.class,
             DumpCommand.class,
+            ExplainCommand.class,
             StandInCommand.class,
             DemoCommand.class,
             BenchCommand.class
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -219,7 +219,7 @@
 
     /**
      * Refuses a call for which nothing is under way while its caller still has the time to come back, since a caller
-     * that is held until it gives up does not.
+     * that is held until it gives up does not. An adapter of a resident model is there soon.
      */
     private void refuseWithoutChance(Exchange exchange) {
         if (exchange.finished || exchange.answering || !waiting.contains(exchange)) {
@@ -228,8 +228,9 @@
         WeightKey key = exchange.weights.orElseThrow();
         long latestMillis = exchange.firstEventMillis - MIN_SERVICE_MILLIS;
         boolean isUnderWay = catalog.usable(key.service()).stream()
-                .anyMatch(replica -> replica.loading().equals(Optional.of(key.model()))
-                        && replica.loadingUntilMillis() <= latestMillis);
+                .anyMatch(replica -> replica.holds(key.model(), "")
+                        || replica.loading().equals(Optional.of(key.model()))
+                                && replica.loadingUntilMillis() <= latestMillis);
         if (!isUnderWay) {
             refuse(exchange, "nothing is under way for model %s %s".formatted(key.model(), key.adapter()));
         }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -46,6 +46,9 @@
     /** How long an unload of a model without running calls takes. */
     private static final long UNLOAD_MILLIS = 100;
 
+    /** The rate from which a model is called so often that loads beside it wait for waiting calls. */
+    private static final double BUSY_CALLS_PER_SECOND = 1;
+
     /** The most that evictions for something else than waiting calls may cost, as waiting. */
     private static final double MAX_PRICE_AHEAD = 700;
 
@@ -141,7 +144,7 @@
         /** Loads what a replica has at hand into room that nothing uses, the most called models first. */
         void fillFreeRoom() {
             for (ReplicaView replica : List.copyOf(candidates)) {
-                if (!replica.isFree()) {
+                if (!replica.isFree() || servesBusyModel(replica)) {
                     continue;
                 }
                 known(replica.state().copies().stream()
@@ -158,6 +161,12 @@
             }
         }
 
+        /** Checks if a load would keep a replica from loading adapters that calls are about to ask for. */
+        private boolean servesBusyModel(ReplicaView replica) {
+            return replica.state().residents().keySet().stream()
+                    .anyMatch(model -> prices.need(model).callsPerSecond() >= BUSY_CALLS_PER_SECOND);
+        }
+
         void fetchMissingCopies() {
             double callsPerSecond = needs.values().stream()
                     .mapToDouble(ModelNeed::callsPerSecond)
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -145,6 +145,15 @@
         assertTrue(moves.stream().allMatch(m -> m.reason() == PlacementMove.Reason.NO_COPY));
     }
 
+    @Test
+    void freeRoomBesideABusyModelIsLeftForItsAdapters() {
+        replica("r1", Set.of(BUSY), Set.of(BUSY, RARE), Map.of());
+        need(BUSY, 0, 3, 1.2);
+
+        assertFalse(
+                planner.plan(replicas, needs).stream().anyMatch(m -> m.model().equals(RARE)));
+    }
+
     @Test
     void trafficLeavesTheStoreOneLoadAtATimeForLaterCalls() {
         for (int i = 1; i <= 6; i++) {
