--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -134,20 +134,8 @@
                 this::config,
                 clocks.monotonic(),
                 timers);
-        CallServer.Context context = new CallServer.Context(
-                vertx,
-                settings.callerAddress(),
-                settings.failureDomain(),
-                ports.calls,
-                catalog,
-                ejections,
-                mesh,
-                clocks.monotonic(),
-                timers,
-                random::nextDouble,
-                metrics);
         this.server = new CallServer(
-                context,
+                callContext(vertx, ports.calls, ejections, random, metrics),
                 this::config,
                 this::mayServe,
                 () -> leaving,
@@ -252,6 +240,22 @@
         return state;
     }
 
+    private CallServer.Context callContext(
+            Vertx vertx, CallCodec calls, Ejections ejections, Random random, GatewayMetrics metrics) {
+        return new CallServer.Context(
+                vertx,
+                settings.callerAddress(),
+                settings.failureDomain(),
+                calls,
+                catalog,
+                ejections,
+                mesh,
+                clocks.monotonic(),
+                timers,
+                random::nextDouble,
+                metrics);
+    }
+
     private void registerGauges(GatewayMetrics metrics) {
         metrics.gauge(
                 "tarragonring.config.version",
