--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallCodec.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallCodec.java
@@ -57,7 +57,6 @@
      * @param belongsToCall whether it answers the call that was sent
      * @param notRun whether the replica did not run the call and never will
      * @param genuine whether the replica vouches for the answer
-     * @param otherReplica whether another replica has the address by now
      */
-    record AnswerHead(boolean belongsToCall, boolean notRun, boolean genuine, boolean otherReplica) {}
+    record AnswerHead(boolean belongsToCall, boolean notRun, boolean genuine) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -6,7 +6,6 @@
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.WeightKey;
-import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.config.RouteKind;
@@ -114,7 +113,7 @@
         if (!head.belongsToCall()) {
             failed(Verdict.MAY_HAVE_RUN, "the answer belongs to another call");
         } else if (head.notRun()) {
-            onRejected(answer.statusCode(), head);
+            onRejected(answer.statusCode());
         } else if (isSuccess && !head.genuine()) {
             failed(Verdict.MAY_HAVE_RUN, "the answer is not vouched for");
         } else if (answer.statusCode() >= SERVER_ERROR && mayTryAgain()) {
@@ -130,10 +129,8 @@
         return !exchange.answering && exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxAttempts();
     }
 
-    private void onRejected(int status, CallCodec.AnswerHead head) {
-        if (head.otherReplica()) {
-            context.catalog.remove(replica.id());
-        } else if (status == MISDIRECTED) {
+    private void onRejected(int status) {
+        if (status == MISDIRECTED) {
             exchange.weights.ifPresent(this::noteAbsent);
         }
         failed(Verdict.NOT_RUN, "the replica rejected the call with status " + status);
@@ -266,7 +263,6 @@
     /** What all attempts work with. */
     record Context(
             CallCodec codec,
-            ReplicaCatalog catalog,
             Ejections ejections,
             MonotonicClock clock,
             RunTimes runTimes,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -113,7 +113,7 @@
         this.answers = Objects.requireNonNull(answers, "answers");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.runTimes = new RunTimes(clock);
-        this.context = new Attempt.Context(codec, catalog, ejections, clock, runTimes, answers, this);
+        this.context = new Attempt.Context(codec, ejections, clock, runTimes, answers, this);
     }
 
     /** Sets what runs when a call begins to wait. */
--- /dev/null
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/EventFramerTest.java
@@ -0,0 +1,62 @@
+package org.tarragonring.gateway.forward;
+
+import java.util.Optional;
+
+import io.vertx.core.buffer.Buffer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class EventFramerTest {
+
+    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+    private final EventFramer framer = new EventFramer();
+
+    @Test
+    void partOfAnEventIsHeldBack() {
+        assertEquals("", feed("id: 1\nda"));
+        assertEquals("id: 1\nda", framer.partial().toString());
+        assertEquals(Optional.empty(), framer.lastId());
+    }
+
+    @Test
+    void wholeEventsArePassedOnWithTheIdOfTheLast() {
+        assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3"));
+        assertEquals(Optional.of("2"), framer.lastId());
+        assertEquals(2, framer.events());
+    }
+
+    @Test
+    void carriageReturnsMayEndLines() {
+        assertEquals("id: 7\r\ndata: a\r\n\r\n", feed("id: 7\r\ndata: a\r\n\r\n"));
+        assertEquals(Optional.of("7"), framer.lastId());
+    }
+
+    @Test
+    void droppedPartIsNotJoinedToTheNextRun() {
+        feed("id: 1\ndata: a\n\nid: 2\ndata: b");
+        framer.dropPartial();
+
+        assertEquals("id: 2\ndata: b\n\n", feed("id: 2\ndata: b\n\n"));
+    }
+
+    @Property
+    void anyDivisionIntoPiecesGivesTheSameBytes(@ForAll @IntRange(min = 1, max = 20) int pieceLength) {
+        EventFramer pieces = new EventFramer();
+        StringBuilder passedOn = new StringBuilder();
+        for (int i = 0; i < STREAM.length(); i += pieceLength) {
+            String piece = STREAM.substring(i, Math.min(STREAM.length(), i + pieceLength));
+            passedOn.append(pieces.feed(Buffer.buffer(piece)));
+        }
+        assertEquals(STREAM, passedOn.toString());
+        assertEquals(3, pieces.events());
+    }
+
+    private String feed(String bytes) {
+        return framer.feed(Buffer.buffer(bytes)).toString();
+    }
+}
