Count an adapter that is there already as no order, and doubt a count that replicas refuse

Found on reading: an order answered with "holds already" raised the believed number of orders, and a count above the replica's was never corrected, so the replica could be ordered nothing more until its holder changed. ReplicaOrdersTest holds both (wrongNumberOfOrdersIsFoundOut fails without the change), and room, unanswered orders and loads of an earlier holder.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -148,9 +148,7 @@
         inFlight++;
         budgets.apply(exchange.service).onCall();
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
-        Timers.Task timeout =
-                timers.schedule(Duration.ofMillis(exchange.endMillis - clock.millis()), () -> onTimeout(exchange));
-        exchange.cancelTimer = timeout::cancel;
+        limitTo(exchange, exchange.endMillis);
         exchange.request.connection().closeHandler(closed -> onCallerGone(exchange));
         dispatch(exchange);
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -66,6 +66,9 @@
     /** After this many conflicts the replica is asked for its state, since it may differ from what is known. */
     private static final int TRIES_BEFORE_REPORT = 4;
 
+    /** After this many the number of orders that is believed is doubted itself, and taken from the next report. */
+    private static final int TRIES_BEFORE_DOUBT = 12;
+
     private final UpstreamId id;
     private final EntryId self;
     private final GroupLease lease;
@@ -273,6 +276,10 @@
             case CONFLICT -> {
                 settledFence = unanswered > 0 ? 0 : settledFence;
                 unanswered = 0;
+                if (tries == TRIES_BEFORE_DOUBT) {
+                    settledFence = 0;
+                    replica.forgetOrders();
+                }
                 return settledFence == 0 || tries % TRIES_BEFORE_REPORT == 0
                         ? refresh(replica).map(done -> Optional.empty())
                         : Uni.createFrom().item(Optional.empty());
@@ -323,11 +330,7 @@
                 replica,
                 "accepted order",
                 () -> replica.onOrders(
-                        replica.bornMillis(),
-                        replica.orders() + 1,
-                        residents,
-                        newLoading,
-                        replica.loadingUntilMillis()));
+                        replica.bornMillis(), newOrders, residents, newLoading, replica.loadingUntilMillis()));
         if (!order.load() && order.adapter().isEmpty()) {
             replica.onLeaving(order.model());
         }
--- /dev/null
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaOrdersTest.java
@@ -0,0 +1,249 @@
+package org.tarragonring.gateway.orders;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+
+import io.smallrye.mutiny.Uni;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.tarragonring.gateway.call.Order;
+import org.tarragonring.gateway.call.ReplicaClient;
+import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.ids.EntryId;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.peer.PeerMessage;
+import org.tarragonring.policy.config.EngineSpec;
+import org.tarragonring.policy.config.ModelSpec;
+import org.tarragonring.policy.replica.ListedReplica;
+import org.tarragonring.policy.replica.ListedReplica.Holdings;
+import org.tarragonring.routing.Ejections;
+import org.tarragonring.time.Delays;
+import org.tarragonring.time.MonotonicClock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ReplicaOrdersTest {
+
+    private static final UpstreamId ID = new UpstreamId("r1");
+    private static final EntryId SELF = new EntryId("entry-1");
+    private static final ModelName FIRST = new ModelName("m1");
+    private static final ModelName SECOND = new ModelName("m2");
+
+    private long nowMillis = 10_000;
+    private final Queue<Runnable> timers = new ArrayDeque<>();
+    private final MonotonicClock clock = () -> nowMillis * MonotonicClock.NANOS_PER_MILLI;
+    private final ReplicaCatalog catalog = new ReplicaCatalog(clock, new Ejections(clock));
+    private final FakeReplica replica = new FakeReplica();
+    private ReplicaOrders orders;
+
+    @BeforeEach
+    void takeLease() {
+        GroupLease lease = new GroupLease(0, SELF, true, new HeldStore(), clock, () -> Instant.ofEpochMilli(nowMillis));
+        lease.take(Optional.empty()).await().indefinitely();
+        replica.models.put(FIRST, new HashSet<>());
+        catalog.put(listed(replica.holdings(Holdings.UNKNOWN_ORDERS)));
+        Delays delays = new Delays((delay, action) -> {
+            timers.add(() -> {
+                nowMillis += Math.max(1, delay.toMillis());
+                action.run();
+            });
+            return () -> {};
+        });
+        orders = new ReplicaOrders(ID, SELF, lease, catalog, replica, clock, delays, notice -> {});
+    }
+
+    @Test
+    void evictsThenLoads() {
+        request(SECOND, "", List.of(FIRST));
+
+        assertEquals(Set.of(SECOND), replica.models.keySet());
+        assertEquals(0, replica.overloads);
+    }
+
+    @Test
+    void loadThatWouldNotFitIsNotOrdered() {
+        request(SECOND, "", List.of());
+
+        assertEquals(Set.of(FIRST), replica.models.keySet());
+        assertEquals(0, replica.overloads);
+    }
+
+    @Test
+    void loadOfAnEarlierHolderIsWaitedForBeforeRoomIsJudged() {
+        replica.models.clear();
+        replica.beginLoad(FIRST, 700);
+
+        request(SECOND, "", List.of());
+
+        assertEquals(0, replica.overloads, "the load under way would have left no room");
+        assertFalse(replica.models.containsKey(SECOND));
+    }
+
+    @Test
+    void orderWithoutAnAnswerIsSentAgain() {
+        replica.answersToLose = 1;
+        replica.losesOrders = true;
+
+        request(FIRST, "a1", List.of());
+
+        assertTrue(replica.models.get(FIRST).contains("a1"));
+    }
+
+    @Test
+    void orderThatWasAcceptedWithoutAnAnswerIsNotCountedTwice() {
+        replica.answersToLose = 1;
+
+        request(FIRST, "a1", List.of());
+        request(FIRST, "a2", List.of());
+        request(FIRST, "a3", List.of());
+
+        assertEquals(Set.of("a2", "a3"), replica.models.get(FIRST));
+        assertEquals(0, replica.overloads);
+    }
+
+    @Test
+    void adapterThatIsThereAlreadyDoesNotCountAsAnOrder() {
+        request(FIRST, "a1", List.of());
+        replica.models.get(FIRST).add("a2");
+
+        request(FIRST, "a2", List.of());
+        long before = nowMillis;
+        request(FIRST, "a3", List.of());
+
+        assertTrue(replica.models.get(FIRST).contains("a3"));
+        assertTrue(nowMillis - before < 500, "the wrong number of orders was tried for long");
+    }
+
+    @Test
+    void wrongNumberOfOrdersIsFoundOut() {
+        request(FIRST, "a1", List.of());
+        replica.sequence -= 1;
+
+        request(FIRST, "a2", List.of());
+
+        assertTrue(replica.models.get(FIRST).contains("a2"));
+    }
+
+    private void request(ModelName model, String adapter, List<ModelName> evict) {
+        orders.request(new PeerMessage.LoadRequest(ID, model, adapter, evict), engine());
+        while (!timers.isEmpty()) {
+            timers.remove().run();
+        }
+    }
+
+    private static EngineSpec engine() {
+        Map<ModelName, ModelSpec> models = new HashMap<>();
+        for (ModelName model : List.of(FIRST, SECOND)) {
+            models.put(
+                    model,
+                    new ModelSpec(model, 60, 1, Duration.ofMillis(500), Duration.ofMillis(50), Duration.ofMillis(30)));
+        }
+        return new EngineSpec(8, 100, 2, 2, models);
+    }
+
+    private static ListedReplica listed(Holdings holdings) {
+        return new ListedReplica(
+                ID, new ServiceName("assistant"), new HostPort("10.0.0.1", 80), "d", 8, false, holdings);
+    }
+
+    /** A replica that checks the number of orders and counts those that overload it. */
+    private final class FakeReplica implements ReplicaClient {
+
+        private final Map<ModelName, Set<String>> models = new HashMap<>();
+        private final List<ModelName> loading = new ArrayList<>();
+        private long busyUntilMillis;
+        private long sequence;
+        private int answersToLose;
+        private boolean losesOrders;
+        private int overloads;
+
+        void beginLoad(ModelName model, long millis) {
+            loading.add(model);
+            busyUntilMillis = nowMillis + millis;
+        }
+
+        @Override
+        public Uni<Report> report(ListedReplica listed) {
+            finishLoads();
+            return Uni.createFrom().item(new Report(holdings(sequence), isBusy()));
+        }
+
+        @Override
+        public Uni<OrderReply> order(ListedReplica listed, Order order) {
+            finishLoads();
+            if (answersToLose > 0) {
+                answersToLose--;
+                if (!losesOrders) {
+                    carryOut(order);
+                }
+                return Uni.createFrom().item(OrderReply.UNKNOWN);
+            }
+            return Uni.createFrom().item(carryOut(order));
+        }
+
+        private OrderReply carryOut(Order order) {
+            if (isBusy() || order.expectedSequence() != sequence) {
+                return OrderReply.CONFLICT;
+            }
+            Set<String> adapters = models.get(order.model());
+            if (!order.adapter().isEmpty()) {
+                return order.load() ? loadAdapter(adapters, order.adapter()) : unloadAdapter(adapters, order.adapter());
+            }
+            sequence++;
+            if (order.load()) {
+                overloads += (models.size() + 1) * 60 > 100 ? 1 : 0;
+                beginLoad(order.model(), 40);
+            } else {
+                models.remove(order.model());
+            }
+            return OrderReply.ACCEPTED;
+        }
+
+        private OrderReply loadAdapter(Set<String> adapters, String adapter) {
+            if (adapters.contains(adapter)) {
+                return OrderReply.ALREADY_HOLDS;
+            }
+            sequence++;
+            adapters.add(adapter);
+            overloads += adapters.size() > 2 ? 1 : 0;
+            return OrderReply.ACCEPTED;
+        }
+
+        private OrderReply unloadAdapter(Set<String> adapters, String adapter) {
+            sequence++;
+            adapters.remove(adapter);
+            return OrderReply.ALREADY_HOLDS;
+        }
+
+        private Holdings holdings(long orders) {
+            Map<ModelName, Set<String>> copy = new HashMap<>();
+            models.forEach((model, adapters) -> copy.put(model, Set.copyOf(adapters)));
+            return new Holdings(1, orders, copy, Set.of(), Set.of(FIRST, SECOND));
+        }
+
+        private boolean isBusy() {
+            return nowMillis < busyUntilMillis;
+        }
+
+        private void finishLoads() {
+            if (!isBusy()) {
+                loading.forEach(model -> models.put(model, new HashSet<>()));
+                loading.clear();
+            }
+        }
+    }
+}
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -121,6 +121,11 @@
         }
     }
 
+    /** Notes that the number of accepted orders may be wrong, so that the next report counts whatever it says. */
+    public void forgetOrders() {
+        orders = Holdings.UNKNOWN_ORDERS;
+    }
+
     /**
      * Notes that the replica accepted an order to unload a model, which it may still name until its runs have ended.
      *
