Refuse the calls that wait when their entry leaves

Such calls are now refused as not run at once, and their callers come back to another entry. Ruled out: a cut of a call on a replica; the request had not been sent.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -183,6 +183,7 @@
     public CompletableFuture<Void> shutDown() {
         leaving = true;
         LogEvent.GATEWAY_LEAVING.log(settings.id(), server.inFlight());
+        server.leave();
         mesh.leave();
         planning.stop();
         authority.leave();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -147,6 +147,11 @@
         return server.close().toCompletionStage().toCompletableFuture();
     }
 
+    /** Refuses the calls that wait for a load; those on replicas go on. */
+    public void leave() {
+        forwarder.leave();
+    }
+
     /**
      * Returns the number of calls that have not ended.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -53,6 +53,9 @@
     /** The least time from a model's load to the first event of a call. */
     private static final long MIN_SERVICE_MILLIS = 100;
 
+    /** What callers of an entry that leaves are told: another entry can take them at once. */
+    private static final long LEAVING_RETRY_AFTER_MILLIS = 50;
+
     /** What callers are told when nothing is known about when a place is free. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
@@ -72,6 +75,7 @@
     private final Attempt.Context context;
     private final Map<WeightKey, Integer> arrivals = new HashMap<>();
     private Runnable onWaiting = () -> {};
+    private boolean leaving;
     private int inFlight;
 
     /**
@@ -197,7 +201,23 @@
         }
     }
 
+    /** Refuses the calls that wait, and those that would: this entry no longer hears of loads, others do. */
+    void leave() {
+        leaving = true;
+        for (WeightKey key : waiting.keys()) {
+            waiting.take(key).forEach(this::refuseAsLeaving);
+        }
+    }
+
+    private void refuseAsLeaving(Exchange exchange) {
+        refuse(exchange, "this entry is leaving", LEAVING_RETRY_AFTER_MILLIS);
+    }
+
     private void park(Exchange exchange) {
+        if (leaving) {
+            refuseAsLeaving(exchange);
+            return;
+        }
         waiting.add(exchange);
         if (!exchange.chanceChecked) {
             exchange.chanceChecked = true;
@@ -302,11 +322,15 @@
     }
 
     private void refuse(Exchange exchange, String reason) {
+        refuse(exchange, reason, DEFAULT_RETRY_AFTER_MILLIS);
+    }
+
+    private void refuse(Exchange exchange, String reason, long retryAfterMillis) {
         if (exchange.answering) {
             breakOff(exchange, reason);
             return;
         }
-        answers.refuse(exchange.request, reason, DEFAULT_RETRY_AFTER_MILLIS);
+        answers.refuse(exchange.request, reason, retryAfterMillis);
         finish(exchange, Answers.UNAVAILABLE, "refused", reason);
     }
 
