Take repeats from the budget when they are sent, and send rejected calls again less often

Besides, a repeat was counted when its predecessor failed, not when it was sent, so calls that waited for a load could arrive together in a later window.

Ruled out: repeats that are not counted at all; each arrival after the first passes tryRepeat.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,13 +30,12 @@
 import org.tarragonring.gateway.orders.OrderGroups;
 import org.tarragonring.gateway.planning.DemandBook;
 import org.tarragonring.gateway.planning.PlanningService;
-import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.objects.RevisionedStore;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.peer.Member;
-import org.tarragonring.policy.budget.RepeatBudget;
+import org.tarragonring.policy.budget.RepeatBudgets;
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.routing.Ejections;
@@ -82,7 +80,6 @@
     private final PlanningService planning;
     private final CallServer server;
     private final Function<StoredObject, Optional<ServingConfig>> configDecoder;
-    private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
     private Optional<ServingConfig> config = Optional.empty();
     private boolean leaving;
     private boolean joined;
@@ -139,8 +136,7 @@
                 this::config,
                 this::mayServe,
                 () -> leaving,
-                this::budget,
-                () -> mesh.alive().size(),
+                new RepeatBudgets(settings.repeats(), () -> mesh.alive().size(), clocks.monotonic()),
                 desk);
         this.configFollower = follower(ports.configPrefix, CONFIG_WATCH, Duration.ZERO, this::onConfig, key -> {});
         this.replicaFollower = follower(
@@ -310,10 +306,6 @@
         });
     }
 
-    private RepeatBudget budget(ServiceName service) {
-        return budgets.computeIfAbsent(service, name -> new RepeatBudget(settings.repeats(), clocks.monotonic()));
-    }
-
     private List<GroupLease> leases(GatewaySettings settings) {
         List<GroupLease> leases = new ArrayList<>();
         for (int group = 0; group < OrderGroups.COUNT; group++) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -7,8 +7,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
-import java.util.function.Function;
-import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
@@ -28,7 +26,7 @@
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.policy.budget.RepeatBudget;
+import org.tarragonring.policy.budget.RepeatBudgets;
 import org.tarragonring.policy.config.RequestLimits;
 import org.tarragonring.policy.config.Route;
 import org.tarragonring.policy.config.ServiceSpec;
@@ -76,7 +74,6 @@
      * @param ready tells whether calls can be served, not null
      * @param leaving tells whether this entry is leaving, not null
      * @param budgets the budget of repeats of each service, not null
-     * @param entries tells how many entries share the budgets, not null
      * @param desk takes requests for adapters, not null
      */
     public CallServer(
@@ -84,8 +81,7 @@
             Supplier<Optional<ServingConfig>> config,
             BooleanSupplier ready,
             BooleanSupplier leaving,
-            Function<ServiceName, RepeatBudget> budgets,
-            IntSupplier entries,
+            RepeatBudgets budgets,
             OrderDesk desk) {
         this.vertx = context.vertx;
         this.address = context.address;
@@ -106,7 +102,6 @@
                 context.ejections,
                 vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_REPLICA)),
                 budgets,
-                entries,
                 clock,
                 context.timers,
                 answers,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -37,6 +37,10 @@
     int attempt;
     int runs;
     int rejections;
+    int pauses;
+    /** Whether an attempt has reached a replica, so that the next one is a repeat. */
+    boolean arrived;
+
     boolean chanceChecked;
     boolean answering;
     boolean finished;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.function.Function;
-import java.util.function.IntSupplier;
 
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
@@ -17,9 +15,8 @@
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
-import org.tarragonring.ids.ServiceName;
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.policy.budget.RepeatBudget;
+import org.tarragonring.policy.budget.RepeatBudgets;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
@@ -41,8 +38,11 @@
     /** The largest number of rejections that one call survives. */
     private static final int MAX_REJECTIONS = 8;
 
-    /** The pause before a call that every replica rejected is tried again. */
-    private static final Duration REJECTED_PAUSE = Duration.ofMillis(40);
+    /** The first pause before a call that every replica rejected is tried again; each further one is twice as long. */
+    private static final long FIRST_REJECTED_PAUSE_MILLIS = 40;
+
+    /** The longest such pause. An order makes a replica reject calls until it is complete, seconds at most. */
+    private static final long LONGEST_REJECTED_PAUSE_MILLIS = 640;
 
     /** The time below which sending a call on makes no sense. */
     private static final long MIN_REMAINING_MILLIS = 15;
@@ -64,8 +64,7 @@
     private final ReplicaPicker picker;
     private final Ejections ejections;
     private final HttpClientAgent client;
-    private final Function<ServiceName, RepeatBudget> budgets;
-    private final IntSupplier entries;
+    private final RepeatBudgets budgets;
     private final MonotonicClock clock;
     private final Timers timers;
     private final Answers answers;
@@ -87,7 +86,6 @@
      * @param ejections takes what replicas did, not null
      * @param client opens connections, not null
      * @param budgets the budget of repeats of each service, not null
-     * @param entries tells how many entries share the budgets, not null
      * @param clock the monotonic clock, not null
      * @param timers runs time-outs, not null
      * @param answers writes this entry's own answers, not null
@@ -99,8 +97,7 @@
             ReplicaPicker picker,
             Ejections ejections,
             HttpClientAgent client,
-            Function<ServiceName, RepeatBudget> budgets,
-            IntSupplier entries,
+            RepeatBudgets budgets,
             MonotonicClock clock,
             Timers timers,
             Answers answers,
@@ -111,7 +108,6 @@
         this.ejections = Objects.requireNonNull(ejections, "ejections");
         this.client = Objects.requireNonNull(client, "client");
         this.budgets = Objects.requireNonNull(budgets, "budgets");
-        this.entries = Objects.requireNonNull(entries, "entries");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.answers = Objects.requireNonNull(answers, "answers");
@@ -150,7 +146,7 @@
     /** Takes a call whose body has arrived. */
     void accept(Exchange exchange) {
         inFlight++;
-        budgets.apply(exchange.service).onCall();
+        budgets.onCall(exchange.service);
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
         limitTo(exchange, exchange.endMillis);
         exchange.request.connection().closeHandler(closed -> onCallerGone(exchange));
@@ -193,7 +189,7 @@
             send(exchange, picked.get());
         } else if (!all.isEmpty()) {
             exchange.avoided.clear();
-            timers.schedule(REJECTED_PAUSE, () -> dispatch(exchange));
+            timers.schedule(rejectedPause(exchange), () -> dispatch(exchange));
         } else if (exchange.weights.isPresent()) {
             park(exchange);
         } else {
@@ -201,6 +197,15 @@
         }
     }
 
+    private static Duration rejectedPause(Exchange exchange) {
+        long pauseMillis = FIRST_REJECTED_PAUSE_MILLIS << exchange.pauses;
+        if (pauseMillis >= LONGEST_REJECTED_PAUSE_MILLIS) {
+            return Duration.ofMillis(LONGEST_REJECTED_PAUSE_MILLIS);
+        }
+        exchange.pauses++;
+        return Duration.ofMillis(pauseMillis);
+    }
+
     /** Refuses the calls that wait, and those that would: this entry no longer hears of loads, others do. */
     void leave() {
         leaving = true;
@@ -299,9 +304,24 @@
             }
             return;
         }
+        if (exchange.arrived && !budgets.tryRepeat(exchange.service)) {
+            request.connection().close();
+            giveUp(exchange, "the budget of repeats is used up");
+            return;
+        }
+        exchange.arrived = true;
         new Attempt(context, exchange, replica, request).begin();
     }
 
+    /** Ends a call that is not sent again. */
+    private void giveUp(Exchange exchange, String reason) {
+        if (exchange.runs == 0) {
+            refuse(exchange, reason);
+        } else {
+            fail(exchange, Answers.BAD_GATEWAY, reason);
+        }
+    }
+
     private void onTimeout(Exchange exchange) {
         if (exchange.finished) {
             return;
@@ -378,15 +398,13 @@
     public void onFailed(Exchange exchange, ReplicaState replica, Verdict verdict, String reason) {
         logAttempt(exchange, verdict, reason);
         exchange.avoided.add(replica.id());
-        boolean isBudgeted = verdict == Verdict.NOT_RUN
+        boolean mayRepeat = verdict == Verdict.NOT_RUN
                 ? ++exchange.rejections <= MAX_REJECTIONS
                 : exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxAttempts();
-        if (isBudgeted && budgets.apply(exchange.service).tryRepeat(Math.max(1, entries.getAsInt()))) {
+        if (mayRepeat && budgets.hasRepeat(exchange.service)) {
             dispatch(exchange);
-        } else if (verdict == Verdict.NOT_RUN) {
-            refuse(exchange, reason);
         } else {
-            fail(exchange, Answers.BAD_GATEWAY, reason);
+            giveUp(exchange, reason);
         }
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/budget/RepeatBudget.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/budget/RepeatBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Objects;
 
 import org.tarragonring.time.MonotonicClock;
 
@@ -9,6 +10,8 @@
  * Bounds how often the calls of one service are sent again, as this entry's part of a budget that all entries share.
  *
  * <p>The budget is a share of the calls in a sliding window, plus an allowance that is divided by the number of entries.
+ * A process uses half of its part of the allowance at most: its predecessor on the same node may have used as much in the
+ * same window.
  *
  * <p>Not safe for use by several threads.
  *
@@ -16,6 +19,9 @@
  */
 public final class RepeatBudget {
 
+    /** The processes that one node may run in a window: the present one and the one that it replaced. */
+    private static final int PROCESSES_IN_WINDOW = 2;
+
     private final BudgetTerms terms;
     private final MonotonicClock clock;
     private final Deque<Long> callMillis = new ArrayDeque<>();
@@ -28,8 +34,8 @@
      * @param clock the monotonic clock, not null
      */
     public RepeatBudget(BudgetTerms terms, MonotonicClock clock) {
-        this.terms = terms;
-        this.clock = clock;
+        this.terms = Objects.requireNonNull(terms, "terms");
+        this.clock = Objects.requireNonNull(clock, "clock");
     }
 
     /** Counts a call of a caller. */
@@ -40,20 +46,30 @@
     }
 
     /**
-     * Takes one repeat.
+     * Checks if a repeat is left, without taking it.
      *
      * @param entries the number of entries that share the allowance, 1 or more
      * @return true if the budget has one left
      */
-    public boolean tryRepeat(int entries) {
+    public boolean hasRepeat(int entries) {
         long now = clock.millis();
         forget(callMillis, now);
         forget(repeatMillis, now);
-        double allowed = terms.ratio() * callMillis.size() + terms.allowance() / (double) entries;
-        if (repeatMillis.size() + 1 > allowed) {
+        double share = (double) terms.allowance() / PROCESSES_IN_WINDOW / entries;
+        return repeatMillis.size() + 1 <= terms.ratio() * callMillis.size() + share;
+    }
+
+    /**
+     * Takes one repeat. To be called when the repeat is sent, since the window in which it arrives counts.
+     *
+     * @param entries the number of entries that share the allowance, 1 or more
+     * @return true if the budget had one left
+     */
+    public boolean tryRepeat(int entries) {
+        if (!hasRepeat(entries)) {
             return false;
         }
-        repeatMillis.addLast(now);
+        repeatMillis.addLast(clock.millis());
         return true;
     }
 
