Keep a model that is being unloaded out of what a replica is believed to hold

Cause: an unload waits for the replica's runs, up to four seconds. The load that follows is refused with 409 meanwhile, and after twelve refusals the number of orders was doubted and the next report taken whole, with the model that was leaving.

Ruled out: the list; on entries that hear of the replica's orders it does not count for 3.5 s.

Change: a doubted number of orders is given up only for a lower one; an equal one shows that the unload is still under way. Test: modelWhoseUnloadWaitsForItsRunsIsNotOfferedAgain, 12 notices named the model before, none after.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -66,7 +66,7 @@
     /** After this many conflicts the replica is asked for its state, since it may differ from what is known. */
     private static final int TRIES_BEFORE_REPORT = 4;
 
-    /** After this many the number of orders that is believed is doubted itself, and taken from the next report. */
+    /** After this many a report with a lower number of orders than the one believed is not taken for a late one. */
     private static final int TRIES_BEFORE_DOUBT = 12;
 
     private final UpstreamId id;
@@ -276,12 +276,8 @@
             case CONFLICT -> {
                 settledFence = unanswered > 0 ? 0 : settledFence;
                 unanswered = 0;
-                if (tries == TRIES_BEFORE_DOUBT) {
-                    settledFence = 0;
-                    replica.forgetOrders();
-                }
                 return settledFence == 0 || tries % TRIES_BEFORE_REPORT == 0
-                        ? refresh(replica).map(done -> Optional.empty())
+                        ? refresh(replica, tries >= TRIES_BEFORE_DOUBT).map(done -> Optional.empty())
                         : Uni.createFrom().item(Optional.empty());
             }
             case UNKNOWN -> {
@@ -369,8 +365,15 @@
      * earlier holder, or one without an answer.
      */
     private Uni<Void> refresh(ReplicaState replica) {
+        return refresh(replica, false);
+    }
+
+    private Uni<Void> refresh(ReplicaState replica, boolean mayBeLower) {
         return client.report(replica.listed())
                 .invoke(report -> {
+                    if (mayBeLower && report.holdings().orders() < replica.orders()) {
+                        replica.forgetOrders();
+                    }
                     boolean isNews = report.holdings().orders() != replica.orders()
                             || report.holdings().bornMillis() != replica.bornMillis()
                             || !isSettled();
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaOrdersTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaOrdersTest.java
@@ -48,6 +48,7 @@
     private final MonotonicClock clock = () -> nowMillis * MonotonicClock.NANOS_PER_MILLI;
     private final ReplicaCatalog catalog = new ReplicaCatalog(clock, new Ejections(clock));
     private final FakeReplica replica = new FakeReplica();
+    private final List<PeerMessage.ReplicaNotice> notices = new ArrayList<>();
     private ReplicaOrders orders;
 
     @BeforeEach
@@ -63,7 +64,7 @@
             });
             return () -> {};
         });
-        orders = new ReplicaOrders(ID, SELF, lease, catalog, replica, clock, delays, notice -> {});
+        orders = new ReplicaOrders(ID, SELF, lease, catalog, replica, clock, delays, notices::add);
     }
 
     @Test
@@ -138,6 +139,19 @@
         assertTrue(replica.models.get(FIRST).contains("a2"));
     }
 
+    @Test
+    void modelWhoseUnloadWaitsForItsRunsIsNotOfferedAgain() {
+        replica.unloadMillis = 4_000;
+
+        request(SECOND, "", List.of(FIRST));
+
+        assertEquals(Set.of(SECOND), replica.models.keySet());
+        long offers = notices.stream()
+                .filter(notice -> notice.sequence() > 0 && notice.residents().containsKey(FIRST))
+                .count();
+        assertEquals(0, offers, "notices that name the model after its unload was accepted");
+    }
+
     private void request(ModelName model, String adapter, List<ModelName> evict) {
         orders.request(new PeerMessage.LoadRequest(ID, model, adapter, evict), engine());
         while (!timers.isEmpty()) {
@@ -165,7 +179,9 @@
 
         private final Map<ModelName, Set<String>> models = new HashMap<>();
         private final List<ModelName> loading = new ArrayList<>();
+        private final List<ModelName> unloading = new ArrayList<>();
         private long busyUntilMillis;
+        private long unloadMillis;
         private long sequence;
         private int answersToLose;
         private boolean losesOrders;
@@ -178,13 +194,13 @@
 
         @Override
         public Uni<Report> report(ListedReplica listed) {
-            finishLoads();
+            finishOrders();
             return Uni.createFrom().item(new Report(holdings(sequence), isBusy()));
         }
 
         @Override
         public Uni<OrderReply> order(ListedReplica listed, Order order) {
-            finishLoads();
+            finishOrders();
             if (answersToLose > 0) {
                 answersToLose--;
                 if (!losesOrders) {
@@ -208,7 +224,9 @@
                 overloads += (models.size() + 1) * 60 > 100 ? 1 : 0;
                 beginLoad(order.model(), 40);
             } else {
-                models.remove(order.model());
+                unloading.add(order.model());
+                busyUntilMillis = nowMillis + unloadMillis;
+                finishOrders();
             }
             return OrderReply.ACCEPTED;
         }
@@ -239,10 +257,12 @@
             return nowMillis < busyUntilMillis;
         }
 
-        private void finishLoads() {
+        private void finishOrders() {
             if (!isBusy()) {
                 loading.forEach(model -> models.put(model, new HashSet<>()));
                 loading.clear();
+                unloading.forEach(models::remove);
+                unloading.clear();
             }
         }
     }
