Bound evictions by the worth of the calls that wait, and keep two copies of busy models

Calls that wait could displace anything that nobody waited for at that moment.

Ruled out: missing demand reports (the planner knew of 24 waiting calls); a lost lease (orders were accepted at once).

Change: evictions for waiting calls may cost at most what those calls are worth, three seconds' calls of a model with one call a second for each; a busy model of which one replica alone has a copy is fetched to a second one from the store. Tests: singleCallForARareModelDoesNotDisplaceABusyModelFromItsOnlyReplica, manyWaitingCallsDisplaceTheLessBusyModel, busyModelWithASingleCopyGetsASecondOneFromTheStore.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionPrices.java
@@ -50,6 +50,11 @@
         return copies.getOrDefault(model, 0);
     }
 
+    /** Returns what evictions may cost at most for the calls that wait for a model. */
+    double worthOfWaiting(ModelName model) {
+        return need(model).waiting() * ABSENCE_SECONDS * MISSED_CALL_MILLIS;
+    }
+
     /** Counts a model as gone from one replica. */
     void remove(ModelName model) {
         copies.computeIfPresent(model, (key, count) -> count <= 1 ? null : count - 1);
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementMove.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementMove.java
@@ -44,6 +44,8 @@
         /** The replica has room for it that nothing uses. */
         FREE_ROOM,
         /** No replica has a copy of it, so that a first call would wait for the weight store. */
-        NO_COPY
+        NO_COPY,
+        /** Many call it and one replica alone has a copy, so that calls would wait for the store if that one left. */
+        SINGLE_COPY
     }
 }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,8 @@
  *
  * <p>First come models that calls wait for, the most urgent first, each on the replica where it is there soonest and
  * displaces the least. Then busy models get further replicas and room that is free is filled. What is left of the weight
- * store's speed fetches models of which no replica has a copy, so that their first call finds one on a disk.
+ * store's speed fetches models of which no replica has a copy, so that their first call finds one on a disk, and busy ones
+ * that only one replica has.
  *
  * @since 0.2.0
  */
@@ -75,6 +77,7 @@
         round.serveWaitingCalls();
         if (!round.hasCallsWithoutPlace()) {
             round.spreadBusyModels();
+            round.secureBusyModels();
             round.fillFreeRoom();
         }
         round.fetchMissingCopies();
@@ -122,7 +125,7 @@
                             .sorted(Comparator.comparingLong(ModelNeed::slackMillis))
                             .map(ModelNeed::model)
                             .toList())
-                    .forEach(model -> load(model, PlacementMove.Reason.WAITING_CALLS, EvictionPrices.NEVER));
+                    .forEach(model -> load(model, PlacementMove.Reason.WAITING_CALLS, prices.worthOfWaiting(model)));
         }
 
         /** Checks if calls wait for models that are neither resident nor under way. */
@@ -167,28 +170,53 @@
                     .anyMatch(model -> prices.need(model).callsPerSecond() >= BUSY_CALLS_PER_SECOND);
         }
 
+        /** Fetches busy models of which only one replica has a copy. */
+        void secureBusyModels() {
+            Map<ModelName, Integer> copies = replicasWithCopy();
+            fetch(
+                    copies.keySet().stream()
+                            .filter(model -> copies.get(model) == 1
+                                    && prices.need(model).callsPerSecond() >= BUSY_CALLS_PER_SECOND)
+                            .toList(),
+                    MAX_STORE_LOADS_IN_TRAFFIC,
+                    PlacementMove.Reason.SINGLE_COPY);
+        }
+
         void fetchMissingCopies() {
             double callsPerSecond = needs.values().stream()
                     .mapToDouble(ModelNeed::callsPerSecond)
                     .sum();
-            int most = callsPerSecond < QUIET_CALLS_PER_SECOND ? MAX_STORE_LOADS : MAX_STORE_LOADS_IN_TRAFFIC;
             Set<ModelName> missing = new HashSet<>(engine.models().keySet());
-            replicas.forEach(replica -> {
-                missing.removeAll(replica.state().residents().keySet());
-                missing.removeAll(replica.state().copies());
-            });
-            known(missing.stream()
+            missing.removeAll(replicasWithCopy().keySet());
+            fetch(
+                    List.copyOf(missing),
+                    callsPerSecond < QUIET_CALLS_PER_SECOND ? MAX_STORE_LOADS : MAX_STORE_LOADS_IN_TRAFFIC,
+                    PlacementMove.Reason.NO_COPY);
+        }
+
+        private void fetch(List<ModelName> models, int most, PlacementMove.Reason reason) {
+            known(models.stream()
                             .sorted(Comparator.comparingDouble((ModelName model) ->
                                             -prices.need(model).callsPerSecond())
                                     .thenComparing(ModelName::value))
                             .toList())
                     .forEach(model -> {
                         if (storeLoads < most) {
-                            load(model, PlacementMove.Reason.NO_COPY, MAX_PRICE_AHEAD);
+                            load(model, reason, MAX_PRICE_AHEAD);
                         }
                     });
         }
 
+        private Map<ModelName, Integer> replicasWithCopy() {
+            Map<ModelName, Integer> copies = new HashMap<>();
+            for (ReplicaView replica : replicas) {
+                Set<ModelName> models = new HashSet<>(replica.state().copies());
+                models.addAll(replica.state().residents().keySet());
+                models.forEach(model -> copies.merge(model, 1, Integer::sum));
+            }
+            return copies;
+        }
+
         private List<ModelName> known(List<ModelName> models) {
             return models.stream()
                     .filter(model -> engine.models().containsKey(model) && !coming.contains(model))
@@ -216,6 +244,7 @@
         /** Checks if a load that keeps a replica busy for seconds is worth it. */
         private boolean mayLoadFromStore(ReplicaView replica, ModelName model, PlacementMove.Reason reason) {
             if (reason == PlacementMove.Reason.NO_COPY
+                    || reason == PlacementMove.Reason.SINGLE_COPY
                     || replica.state().residents().isEmpty()) {
                 return true;
             }
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -121,6 +121,39 @@
         assertEquals(List.of(), planner.plan(replicas, needs));
     }
 
+    @Test
+    void singleCallForARareModelDoesNotDisplaceABusyModelFromItsOnlyReplica() {
+        replica("r1", Set.of(BUSY, OTHER_BUSY), Set.of(BUSY, OTHER_BUSY, RARE), Map.of());
+        need(BUSY, 0, 3, 4);
+        need(OTHER_BUSY, 0, 3, 3);
+        need(RARE, 1, 0, 0.1);
+
+        assertEquals(List.of(), planner.plan(replicas, needs));
+    }
+
+    @Test
+    void manyWaitingCallsDisplaceTheLessBusyModel() {
+        replica("r1", Set.of(BUSY, OTHER_BUSY), Set.of(BUSY, OTHER_BUSY, RARE), Map.of());
+        need(BUSY, 0, 3, 4);
+        need(OTHER_BUSY, 0, 3, 3);
+        need(RARE, 4, 0, 0.5);
+
+        assertEquals(List.of(OTHER_BUSY), moveOf(RARE).evict());
+    }
+
+    @Test
+    void busyModelWithASingleCopyGetsASecondOneFromTheStore() {
+        replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
+        replica("r2", Set.of(IDLE), Set.of(IDLE, OTHER_BUSY, RARE, LARGE), Map.of());
+        need(BUSY, 0, 1, 1.2);
+
+        PlacementMove move = moveOf(BUSY);
+
+        assertEquals("r2", move.replica().value());
+        assertEquals(PlacementMove.Reason.SINGLE_COPY, move.reason());
+        assertEquals(CheckpointTier.REMOTE, move.tier());
+    }
+
     @Test
     void risingModelGetsASecondReplicaFromDisk() {
         replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
