Let waiting calls have the weight store when nobody may order the replica with the copy

Ruled out: the time to take the lease over (27.2 s, as long as safety asks for after a silent holder).

Test: copyOnAReplicaThatNobodyMayOrderDoesNotKeepWaitingCallsFromTheStore.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -248,7 +248,8 @@
                     || replica.state().residents().isEmpty()) {
                 return true;
             }
-            boolean hasCopy = replicas.stream().anyMatch(other -> other.state().tierOf(model) != CheckpointTier.REMOTE);
+            boolean hasCopy = replicas.stream()
+                    .anyMatch(other -> other.orderable() && other.state().tierOf(model) != CheckpointTier.REMOTE);
             return reason == PlacementMove.Reason.WAITING_CALLS
                     && (!hasCopy || prices.need(model).slackMillis() < LATE_ENOUGH_FOR_STORE_MILLIS);
         }
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -154,6 +154,20 @@
         assertEquals(CheckpointTier.REMOTE, move.tier());
     }
 
+    @Test
+    void copyOnAReplicaThatNobodyMayOrderDoesNotKeepWaitingCallsFromTheStore() {
+        replica("r1", Set.of(IDLE), Set.of(IDLE, RARE), Map.of());
+        ReplicaView frozen = replicas.remove(0);
+        replicas.add(new ReplicaView(frozen.state(), Map.of(), Optional.empty(), 0, false));
+        replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
+        need(RARE, 3, 0, 0.5);
+
+        PlacementMove move = moveOf(RARE);
+
+        assertEquals("r2", move.replica().value());
+        assertEquals(CheckpointTier.REMOTE, move.tier());
+    }
+
     @Test
     void risingModelGetsASecondReplicaFromDisk() {
         replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
