Weigh the delay of a load by the calls that wait for it

Change: a place's delay counts once for each waiting call; second copies are fetched in every round, up to two loads from the store at once. Tests: manyWaitingCallsDoNotQueueBehindTheLoadOfAnotherModelFromTheStore, busyModelGetsItsSecondCopyAlsoWhileOtherCallsWait (both fail before).

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -36,6 +36,9 @@
     /** The store's loads for later calls while there is traffic: each keeps a replica from swapping for seconds. */
     static final int MAX_STORE_LOADS_IN_TRAFFIC = 1;
 
+    /** The store's loads up to which a busy model gets a second copy; it helps many calls when its replica goes. */
+    static final int MAX_STORE_LOADS_FOR_BUSY = 2;
+
     /** The rate of calls below which the replicas count as idle. */
     private static final double QUIET_CALLS_PER_SECOND = 0.5;
 
@@ -77,7 +80,9 @@
         round.serveWaitingCalls();
         if (!round.hasCallsWithoutPlace()) {
             round.spreadBusyModels();
-            round.secureBusyModels();
+        }
+        round.secureBusyModels();
+        if (!round.hasCallsWithoutPlace()) {
             round.fillFreeRoom();
         }
         round.fetchMissingCopies();
@@ -178,7 +183,7 @@
                             .filter(model -> copies.get(model) == 1
                                     && prices.need(model).callsPerSecond() >= BUSY_CALLS_PER_SECOND)
                             .toList(),
-                    MAX_STORE_LOADS_IN_TRAFFIC,
+                    MAX_STORE_LOADS_FOR_BUSY,
                     PlacementMove.Reason.SINGLE_COPY);
         }
 
@@ -291,8 +296,9 @@
             if (replica.state().tierOf(model) == CheckpointTier.REMOTE) {
                 price += replica.state().residents().isEmpty() ? 0 : STORE_LOAD_BLOCKS_MILLIS;
             }
-            double costMillis = replica.freeInMillis()
-                    + loadTime(replica.state(), model).toMillis()
+            long delayMillis =
+                    replica.freeInMillis() + loadTime(replica.state(), model).toMillis();
+            double costMillis = delayMillis * Math.max(1, prices.need(model).waiting())
                     + price
                     + replica.state().residents().size();
             return Optional.of(new Spot(replica, evict, costMillis));
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -168,6 +168,29 @@
         assertEquals(CheckpointTier.REMOTE, move.tier());
     }
 
+    @Test
+    void manyWaitingCallsDoNotQueueBehindTheLoadOfAnotherModelFromTheStore() {
+        replica("r1", Set.of(), Set.of(), Map.of());
+        ReplicaView empty = replicas.remove(0);
+        replicas.add(new ReplicaView(empty.state(), Map.of(), Optional.of(OTHER_BUSY), 5_000, true));
+        replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
+        need(RARE, 8, 0, 2);
+
+        assertEquals("r2", moveOf(RARE).replica().value());
+    }
+
+    @Test
+    void busyModelGetsItsSecondCopyAlsoWhileOtherCallsWait() {
+        replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
+        replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
+        replica("r3", Set.of(OTHER_BUSY), Set.of(OTHER_BUSY), Map.of());
+        need(BUSY, 0, 1, 1.2);
+        need(LARGE, 1, 0, 0.1);
+        need(OTHER_BUSY, 0, 1, 0.9);
+
+        assertEquals(PlacementMove.Reason.SINGLE_COPY, moveOf(BUSY).reason());
+    }
+
     @Test
     void risingModelGetsASecondReplicaFromDisk() {
         replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
