Give up loads that nobody starts, and do not hold orders up for a silent store

At 24.7 s a load of the busiest model was planned on a replica whose holder was suspended; it counted as under way for 7.5 s and 17 calls waited.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -95,6 +95,8 @@
     ORDER_LEASE(421, Logger.Level.INFO, "order group %s held=%s fence=%s: %s"),
     /** The planner decided a load. */
     LOAD_PLANNED(422, Logger.Level.INFO, "load of %s planned on %s, evicting %s, from %s, because %s, waiting %s"),
+    /** Nobody carried out a load that was decided. */
+    LOAD_NOT_STARTED(423, Logger.Level.WARN, "load of %s on %s was not started within %s ms, loads go elsewhere"),
     /** A configuration came into force. */
     SERVING_CONFIG(610, Logger.Level.INFO, "configuration version %s is in force, %s hosts, %s services"),
     /** A call was sent to a replica. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -310,7 +310,13 @@
         List<GroupLease> leases = new ArrayList<>();
         for (int group = 0; group < OrderGroups.COUNT; group++) {
             leases.add(new GroupLease(
-                    group, settings.id(), settings.fencesChecked(), store, clocks.monotonic(), clocks.wall()));
+                    group,
+                    settings.id(),
+                    settings.fencesChecked(),
+                    store,
+                    clocks.monotonic(),
+                    clocks.wall(),
+                    new Delays(timers)));
         }
         return leases;
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
@@ -13,6 +13,7 @@
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.policy.lease.OrderLease;
+import org.tarragonring.time.Delays;
 import org.tarragonring.time.MonotonicClock;
 
 /**
@@ -35,12 +36,20 @@
     /** Below this an order would be sent so close to the lease's end that it might arrive after it. */
     private static final long MIN_REMAINING_MILLIS = 400;
 
+    /**
+     * How long orders wait for a renewal while the last one failed: a store that is back answers sooner, and one that stays
+     * silent must not hold up every order.
+     */
+    private static final Duration RENEWAL_WAIT_WITHOUT_STORE = Duration.ofMillis(250);
+
     private final int group;
     private final EntryId self;
     private final boolean fencesChecked;
     private final ObjectStore store;
     private final OrderLease lease;
+    private final Delays delays;
     private boolean held;
+    private boolean renewalFailed;
     private long version;
     private long fence;
     private long renewals;
@@ -57,6 +66,7 @@
      * @param store where the record lies, not null
      * @param clock the monotonic clock, not null
      * @param wallClock the wall clock, not null
+     * @param delays waits, not null
      */
     public GroupLease(
             int group,
@@ -64,12 +74,14 @@
             boolean fencesChecked,
             ObjectStore store,
             MonotonicClock clock,
-            InstantSource wallClock) {
+            InstantSource wallClock,
+            Delays delays) {
         this.group = group;
         this.self = Objects.requireNonNull(self, "self");
         this.fencesChecked = fencesChecked;
         this.store = Objects.requireNonNull(store, "store");
         this.lease = new OrderLease(clock, wallClock, VALIDITY);
+        this.delays = Objects.requireNonNull(delays, "delays");
     }
 
     /**
@@ -122,7 +134,13 @@
                     .memoize()
                     .indefinitely();
         }
-        return renewing;
+        return fencesChecked && renewalFailed
+                ? Uni.join()
+                        .first(
+                                renewing,
+                                delays.after(RENEWAL_WAIT_WITHOUT_STORE).map(waited -> held))
+                        .toTerminate()
+                : renewing;
     }
 
     /**
@@ -186,6 +204,7 @@
                 .invoke(newVersion -> {
                     version = newVersion;
                     fence = newFence;
+                    renewalFailed = false;
                     lease.granted(sent, newFence);
                 })
                 .replaceWithVoid();
@@ -211,6 +230,7 @@
             lost("another entry took it");
             return false;
         }
+        renewalFailed = true;
         LogEvent.ORDER_LEASE.log(group, true, fence, "renewal failed: " + failure.getMessage());
         return fencesChecked;
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -1,7 +1,6 @@
 package org.tarragonring.gateway.planning;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -46,12 +45,6 @@
 
     private static final Duration PERIOD = Duration.ofMillis(100);
 
-    /** How much longer than expected a decided load counts as under way without a word of the replica's orders. */
-    private static final Duration DECISION_MARGIN = Duration.ofMillis(1_500);
-
-    /** What is expected of an order that should have ended just now. */
-    private static final long MIN_OVERDUE_MILLIS = 300;
-
     private final EntryId self;
     private final Mesh mesh;
     private final ReplicaCatalog catalog;
@@ -59,9 +52,8 @@
     private final OrderDesk desk;
     private final DemandBook book;
     private final Supplier<Optional<ServingConfig>> config;
-    private final MonotonicClock clock;
     private final Timers timers;
-    private final Map<UpstreamId, Decided> decided = new HashMap<>();
+    private final DecidedLoads decided;
     private Timers.Task planning = () -> {};
 
     /**
@@ -94,8 +86,8 @@
         this.desk = Objects.requireNonNull(desk, "desk");
         this.book = Objects.requireNonNull(book, "book");
         this.config = Objects.requireNonNull(config, "config");
-        this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
+        this.decided = new DecidedLoads(clock);
     }
 
     /** Starts to collect demand and to plan. */
@@ -126,37 +118,25 @@
     }
 
     private void plan(ServiceName service, EngineSpec engine) {
-        long now = clock.millis();
-        decided.values().removeIf(decision -> now >= decision.untilMillis);
         Map<UpstreamId, Map<ModelName, RunningCalls>> running = book.running();
         List<ReplicaView> views = catalog.usable(service).stream()
                 .filter(replica -> !book.isUnreachable(replica.id()))
-                .map(replica -> view(replica, running.getOrDefault(replica.id(), Map.of()), now))
+                .map(replica -> view(replica, running.getOrDefault(replica.id(), Map.of())))
                 .toList();
         Map<ModelName, ModelNeed> needs = book.needs(service);
         List<PlacementMove> moves = new PlacementPlanner(engine).plan(views, needs);
         moves.forEach(move -> start(move, needs));
     }
 
-    private ReplicaView view(ReplicaState replica, Map<ModelName, RunningCalls> running, long now) {
-        Decided decision = decided.get(replica.id());
-        if (decision != null && replica.holds(decision.model, "")) {
-            decided.remove(replica.id());
-            decision = null;
-        }
-        Optional<ModelName> underWay = replica.loading();
-        long freeInMillis = underWay.isPresent() ? untilFree(replica.loadingUntilMillis(), now) : 0;
-        if (underWay.isEmpty() && decision != null) {
-            underWay = Optional.of(decision.model);
-            freeInMillis = untilFree(decision.expectedMillis, now);
-        }
-        boolean orderable = authority.holderOf(replica.id()).isPresent();
-        return new ReplicaView(replica, running, underWay, freeInMillis, orderable);
-    }
-
-    /** Estimates when an order ends; the longer it is overdue, the longer it is expected to go on. */
-    private static long untilFree(long expectedMillis, long now) {
-        return expectedMillis > now ? expectedMillis - now : MIN_OVERDUE_MILLIS + (now - expectedMillis);
+    private ReplicaView view(ReplicaState replica, Map<ModelName, RunningCalls> running) {
+        Optional<DecidedLoads.UnderWay> underWay = decided.underWay(replica);
+        boolean orderable = authority.holderOf(replica.id()).isPresent() && decided.isCarriedOut(replica.id());
+        return new ReplicaView(
+                replica,
+                running,
+                underWay.map(DecidedLoads.UnderWay::model),
+                underWay.map(DecidedLoads.UnderWay::remainingMillis).orElse(0L),
+                orderable);
     }
 
     private void start(PlacementMove move, Map<ModelName, ModelNeed> needs) {
@@ -164,21 +144,7 @@
                 .map(ModelNeed::waiting)
                 .orElse(0);
         LogEvent.LOAD_PLANNED.log(move.model(), move.replica(), move.evict(), move.tier(), move.reason(), waiting);
-        decided.put(
-                move.replica(),
-                new Decided(
-                        move.model(),
-                        clock.millis() + move.expectedMillis(),
-                        clock.millis() + move.expectedMillis() + DECISION_MARGIN.toMillis()));
+        catalog.find(move.replica()).ifPresent(replica -> decided.decide(replica, move.model(), move.expectedMillis()));
         desk.request(new PeerMessage.LoadRequest(move.replica(), move.model(), "", move.evict()));
     }
-
-    /**
-     * A load that was decided.
-     *
-     * @param model what to load
-     * @param expectedMillis when it should be done
-     * @param untilMillis when it is taken as failed
-     */
-    private record Decided(ModelName model, long expectedMillis, long untilMillis) {}
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
@@ -1,11 +1,14 @@
 package org.tarragonring.gateway.orders;
 
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.Test;
 import org.tarragonring.ids.EntryId;
+import org.tarragonring.time.Delays;
 import org.tarragonring.time.MonotonicClock;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -19,6 +22,7 @@
     private long suspendedMillis;
     private final MonotonicClock clock = () -> nowMillis * MonotonicClock.NANOS_PER_MILLI;
     private final HeldStore store = new HeldStore();
+    private final List<Runnable> timers = new ArrayList<>();
     private final GroupLease first = lease("first", false);
     private final GroupLease second = lease("second", false);
 
@@ -97,6 +101,37 @@
         assertTrue(fenced.ensure().await().indefinitely());
     }
 
+    @Test
+    void silentStoreHoldsUpOnlyTheFirstOrderForItsWholeTimeout() {
+        GroupLease fenced = lease("fenced", true);
+        fenced.take(Optional.empty()).await().indefinitely();
+        store.setReachable(false);
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        assertTrue(fenced.ensure().await().indefinitely());
+        store.holdWrites();
+        AtomicReference<Boolean> order = new AtomicReference<>();
+
+        fenced.ensure().subscribe().with(order::set);
+        assertNull(order.get(), "a store that is back would answer soon");
+        timers.forEach(Runnable::run);
+
+        assertEquals(true, order.get());
+    }
+
+    @Test
+    void holderThatLostItsLeaseMeanwhileSendsNothingWhenTheStoreIsBack() {
+        GroupLease fenced = lease("fenced", true);
+        fenced.take(Optional.empty()).await().indefinitely();
+        store.setReachable(false);
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        assertTrue(fenced.ensure().await().indefinitely());
+        store.setReachable(true);
+        second.take(second.read().await().indefinitely()).await().indefinitely();
+
+        assertFalse(fenced.ensure().await().indefinitely());
+        assertFalse(fenced.isHeld());
+    }
+
     @Test
     void releasedLeaseSaysSoInItsRecord() {
         first.take(Optional.empty()).await().indefinitely();
@@ -114,6 +149,10 @@
                 fencesChecked,
                 store,
                 clock,
-                () -> Instant.ofEpochMilli(nowMillis + suspendedMillis));
+                () -> Instant.ofEpochMilli(nowMillis + suspendedMillis),
+                new Delays((delay, action) -> {
+                    timers.add(action);
+                    return () -> {};
+                }));
     }
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaOrdersTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaOrdersTest.java
@@ -53,10 +53,6 @@
 
     @BeforeEach
     void takeLease() {
-        GroupLease lease = new GroupLease(0, SELF, true, new HeldStore(), clock, () -> Instant.ofEpochMilli(nowMillis));
-        lease.take(Optional.empty()).await().indefinitely();
-        replica.models.put(FIRST, new HashSet<>());
-        catalog.put(listed(replica.holdings(Holdings.UNKNOWN_ORDERS)));
         Delays delays = new Delays((delay, action) -> {
             timers.add(() -> {
                 nowMillis += Math.max(1, delay.toMillis());
@@ -64,6 +60,11 @@
             });
             return () -> {};
         });
+        GroupLease lease =
+                new GroupLease(0, SELF, true, new HeldStore(), clock, () -> Instant.ofEpochMilli(nowMillis), delays);
+        lease.take(Optional.empty()).await().indefinitely();
+        replica.models.put(FIRST, new HashSet<>());
+        catalog.put(listed(replica.holdings(Holdings.UNKNOWN_ORDERS)));
         orders = new ReplicaOrders(ID, SELF, lease, catalog, replica, clock, delays, notices::add);
     }
 
