Fetch second copies of the busiest models only, and use the store for three waiting calls

While any replica that may be ordered has a copy, calls waited for it, however long it was busy.

Change: a second copy is worth a load from the store for models with twice a replica's mean share of the calls; from three waiting calls on a load from the store elsewhere competes by its cost. The test of second copies while calls wait uses a rate above that share now; modelWithAnAverageShareOfTheCallsKeepsItsSingleCopy holds the other side.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -39,6 +39,15 @@
     /** The store's loads up to which a busy model gets a second copy; it helps many calls when its replica goes. */
     static final int MAX_STORE_LOADS_FOR_BUSY = 2;
 
+    /**
+     * How many times a replica's mean share of the calls a model must have to get a second copy from the store: the load keeps
+     * one replica from swapping for as long as the model would be away if its only replica went.
+     */
+    private static final double SECOND_COPY_FACTOR = 2;
+
+    /** The calls that wait from which a model may come from the store though some replica has a copy of it. */
+    private static final int MANY_WAITING_CALLS = 3;
+
     /** The rate of calls below which the replicas count as idle. */
     private static final double QUIET_CALLS_PER_SECOND = 0.5;
 
@@ -178,27 +187,32 @@
         /** Fetches busy models of which only one replica has a copy. */
         void secureBusyModels() {
             Map<ModelName, Integer> copies = replicasWithCopy();
+            double worthwhileRate = Math.max(
+                    BUSY_CALLS_PER_SECOND, SECOND_COPY_FACTOR * callsPerSecond() / Math.max(1, replicas.size()));
             fetch(
                     copies.keySet().stream()
-                            .filter(model -> copies.get(model) == 1
-                                    && prices.need(model).callsPerSecond() >= BUSY_CALLS_PER_SECOND)
+                            .filter(model ->
+                                    copies.get(model) == 1 && prices.need(model).callsPerSecond() >= worthwhileRate)
                             .toList(),
                     MAX_STORE_LOADS_FOR_BUSY,
                     PlacementMove.Reason.SINGLE_COPY);
         }
 
         void fetchMissingCopies() {
-            double callsPerSecond = needs.values().stream()
-                    .mapToDouble(ModelNeed::callsPerSecond)
-                    .sum();
             Set<ModelName> missing = new HashSet<>(engine.models().keySet());
             missing.removeAll(replicasWithCopy().keySet());
             fetch(
                     List.copyOf(missing),
-                    callsPerSecond < QUIET_CALLS_PER_SECOND ? MAX_STORE_LOADS : MAX_STORE_LOADS_IN_TRAFFIC,
+                    callsPerSecond() < QUIET_CALLS_PER_SECOND ? MAX_STORE_LOADS : MAX_STORE_LOADS_IN_TRAFFIC,
                     PlacementMove.Reason.NO_COPY);
         }
 
+        private double callsPerSecond() {
+            return needs.values().stream()
+                    .mapToDouble(ModelNeed::callsPerSecond)
+                    .sum();
+        }
+
         private void fetch(List<ModelName> models, int most, PlacementMove.Reason reason) {
             known(models.stream()
                             .sorted(Comparator.comparingDouble((ModelName model) ->
@@ -256,7 +270,9 @@
             boolean hasCopy = replicas.stream()
                     .anyMatch(other -> other.orderable() && other.state().tierOf(model) != CheckpointTier.REMOTE);
             return reason == PlacementMove.Reason.WAITING_CALLS
-                    && (!hasCopy || prices.need(model).slackMillis() < LATE_ENOUGH_FOR_STORE_MILLIS);
+                    && (!hasCopy
+                            || prices.need(model).waiting() >= MANY_WAITING_CALLS
+                            || prices.need(model).slackMillis() < LATE_ENOUGH_FOR_STORE_MILLIS);
         }
 
         private void decide(Spot spot, ModelName model, PlacementMove.Reason reason) {
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -184,13 +184,35 @@
         replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
         replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
         replica("r3", Set.of(OTHER_BUSY), Set.of(OTHER_BUSY), Map.of());
-        need(BUSY, 0, 1, 1.2);
+        need(BUSY, 0, 4, 4);
         need(LARGE, 1, 0, 0.1);
         need(OTHER_BUSY, 0, 1, 0.9);
 
         assertEquals(PlacementMove.Reason.SINGLE_COPY, moveOf(BUSY).reason());
     }
 
+    @Test
+    void manyWaitingCallsDoNotWaitForAReplicaThatLoadsFromTheStore() {
+        replica("r1", Set.of(), Set.of(RARE), Map.of());
+        ReplicaView loading = replicas.remove(0);
+        replicas.add(new ReplicaView(loading.state(), Map.of(), Optional.of(OTHER_BUSY), 8_000, true));
+        replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
+        need(RARE, 8, 0, 2);
+
+        assertEquals("r2", moveOf(RARE).replica().value());
+    }
+
+    @Test
+    void modelWithAnAverageShareOfTheCallsKeepsItsSingleCopy() {
+        replica("r1", Set.of(BUSY), Set.of(BUSY, RARE, LARGE), Map.of());
+        replica("r2", Set.of(OTHER_BUSY), Set.of(OTHER_BUSY, RARE, IDLE), Map.of());
+        need(BUSY, 0, 1, 1.2);
+        need(OTHER_BUSY, 0, 1, 1.2);
+
+        assertFalse(planner.plan(replicas, needs).stream()
+                .anyMatch(move -> move.reason() == PlacementMove.Reason.SINGLE_COPY));
+    }
+
     @Test
     void risingModelGetsASecondReplicaFromDisk() {
         replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
