Recover what a dead holder left untold, and tell a waiting holder from a silent one

All entries went on to believe the load under way: the list had named the model as resident since 4 s, but in the time in which news of orders goes before it, and the replica's entry did not change again; the new holder took the group at 10.5 s and asked the replica nothing.

Ruled out: calls sent and lost (none was sent); a missing demand report (the planner counted them).

Change: the list completes a load that is due; a load 1 s overdue of which nothing was heard for 3.5 s counts no more; a new holder asks the replicas of its group and tells all entries. A holder is silent only if nothing was heard of the replica's orders since the decision, and a decided load counts for 4 s beyond its time, as unloads wait for runs. Tests: loadOfAHolderThatIsGoneCompletesByTheList, listThatNamesTheModelBeforeItsLoadIsDueIsOld, loadThatNobodyTellsOfIsForgotten, newHolderTellsWhatTheLastOneLeftUntold, holderThatStillWaitsForAnEarlierUnloadIsNotTakenAsSilent.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderAuthority.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderAuthority.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
 
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.ids.EntryId;
@@ -47,6 +48,7 @@
     private final boolean[] busy = new boolean[OrderGroups.COUNT];
     private long startedMillis;
     private long announcedMillis;
+    private IntConsumer onTaken = group -> {};
     private boolean leaving;
     private boolean saidWithoutStore;
     private Timers.Task ticking = () -> {};
@@ -79,6 +81,15 @@
         this.timers = Objects.requireNonNull(timers, "timers");
     }
 
+    /**
+     * Sets what runs when this entry has taken the lease of a group.
+     *
+     * @param action takes the group, not null
+     */
+    public void onTaken(IntConsumer action) {
+        onTaken = Objects.requireNonNull(action, "action");
+    }
+
     /** Starts to take leases. */
     public void start() {
         startedMillis = clock.millis();
@@ -235,6 +246,7 @@
                         done -> {
                             busy[group] = false;
                             announce();
+                            onTaken.accept(group);
                         },
                         failure -> {
                             busy[group] = false;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderDesk.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderDesk.java
@@ -72,6 +72,7 @@
     /** Starts to take requests of other entries. */
     public void start() {
         catalog.setOrderedHere(replica -> authority.leaseOf(replica).isHeld());
+        authority.onTaken(this::askReplicas);
         mesh.on(PeerMessage.LoadRequest.class, (from, request) -> carryOut(request));
         mesh.on(PeerMessage.ReplicaNotice.class, (from, notice) -> catalog.onNotice(notice));
     }
@@ -96,19 +97,34 @@
 
     private void carryOut(PeerMessage.LoadRequest request) {
         ReplicaState replica = catalog.find(request.replica()).orElse(null);
-        Optional<EngineSpec> engine = config.get()
-                .flatMap(c -> replica == null
-                        ? Optional.empty()
-                        : c.findService(replica.listed().service()))
-                .flatMap(ServiceSpec::engine);
+        Optional<EngineSpec> engine = Optional.ofNullable(replica).flatMap(this::engineOf);
         GroupLease lease = authority.leaseOf(request.replica());
         if (engine.isEmpty() || !lease.isHeld()) {
             return;
         }
+        ordersOf(replica).request(request, engine.get());
+    }
+
+    /** Asks the replicas of a group for their state, which the last holder may have left without telling of it. */
+    private void askReplicas(int group) {
+        for (ReplicaState replica : catalog.all()) {
+            if (OrderGroups.of(replica.id()) == group && engineOf(replica).isPresent()) {
+                ordersOf(replica).settle();
+            }
+        }
+    }
+
+    private Optional<EngineSpec> engineOf(ReplicaState replica) {
+        return config.get()
+                .flatMap(c -> c.findService(replica.listed().service()))
+                .flatMap(ServiceSpec::engine);
+    }
+
+    private ReplicaOrders ordersOf(ReplicaState replica) {
         orders.keySet().removeIf(id -> catalog.find(id).isEmpty());
-        orders.computeIfAbsent(
-                        request.replica(),
-                        id -> new ReplicaOrders(id, self, lease, catalog, client, clock, delays, mesh::broadcast))
-                .request(request, engine.get());
+        return orders.computeIfAbsent(
+                replica.id(),
+                id -> new ReplicaOrders(
+                        id, self, authority.leaseOf(id), catalog, client, clock, delays, mesh::broadcast));
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaOrders.java
@@ -125,6 +125,14 @@
         }
     }
 
+    /** Asks the replica for its state and tells all entries, since an earlier holder may not have told of its orders. */
+    void settle() {
+        catalog.find(id)
+                .ifPresent(replica -> refresh(replica)
+                        .subscribe()
+                        .with(done -> {}, failure -> LogEvent.UNEXPECTED.log("state of replica " + id, failure)));
+    }
+
     private void next(Lane lane, EngineSpec engine) {
         PeerMessage.LoadRequest request = lane.queue.peekFirst();
         ReplicaState replica = catalog.find(id).orElse(null);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DecidedLoads.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DecidedLoads.java
@@ -19,8 +19,8 @@
  */
 final class DecidedLoads {
 
-    /** How much longer than expected a decided load counts as under way without a word of the replica's orders. */
-    static final Duration MARGIN = Duration.ofMillis(1_500);
+    /** How much longer than expected a decided load counts as under way: an unload may wait for runs of some seconds. */
+    static final Duration MARGIN = Duration.ofMillis(4_000);
 
     /** How long the first order of a load may take: some milliseconds, some hundred if its lease must be renewed. */
     static final Duration ACCEPT_LIMIT = Duration.ofMillis(900);
@@ -73,7 +73,7 @@
      * Checks if loads on a replica are carried out as far as is known.
      *
      * @param replica the replica, not null
-     * @return false for a while after a load of which no order was accepted
+     * @return false for a while after a load of which nothing was heard
      */
     boolean isCarriedOut(UpstreamId replica) {
         Long untilMillis = avoidedUntilMillis.get(replica);
@@ -88,9 +88,9 @@
         if (replica.holds(decision.model, "") || now >= decision.expectedMillis + MARGIN.toMillis()) {
             return true;
         }
-        boolean isAccepted =
-                replica.orders() != decision.ordersBefore || replica.loading().isPresent();
-        if (isAccepted || now - decision.madeMillis < ACCEPT_LIMIT.toMillis()) {
+        boolean hasNews =
+                replica.orders() != decision.ordersBefore || replica.ordersHeardMillis() > decision.madeMillis;
+        if (hasNews || now - decision.madeMillis < ACCEPT_LIMIT.toMillis()) {
             return false;
         }
         LogEvent.LOAD_NOT_STARTED.log(decision.model, replica.id(), now - decision.madeMillis);
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaOrdersTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaOrdersTest.java
@@ -153,6 +153,17 @@
         assertEquals(0, offers, "notices that name the model after its unload was accepted");
     }
 
+    @Test
+    void newHolderTellsWhatTheLastOneLeftUntold() {
+        replica.models.put(SECOND, new HashSet<>());
+        replica.sequence = 7;
+
+        orders.settle();
+
+        assertEquals(Set.of(FIRST, SECOND), notices.get(0).residents().keySet());
+        assertEquals(7, notices.get(0).sequence());
+    }
+
     private void request(ModelName model, String adapter, List<ModelName> evict) {
         orders.request(new PeerMessage.LoadRequest(ID, model, adapter, evict), engine());
         while (!timers.isEmpty()) {
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/DecidedLoadsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/DecidedLoadsTest.java
@@ -72,6 +72,17 @@
         assertTrue(loads.isCarriedOut(replica.id()));
     }
 
+    @Test
+    void holderThatStillWaitsForAnEarlierUnloadIsNotTakenAsSilent() {
+        loads.decide(replica, MODEL, 700);
+        nowMillis += DecidedLoads.ACCEPT_LIMIT.toMillis() - 100;
+        replica.onOrders(BORN_MILLIS, 4, Map.of(), Optional.empty(), 0);
+        nowMillis += 100;
+
+        assertEquals(MODEL, loads.underWay(replica).orElseThrow().model());
+        assertTrue(loads.isCarriedOut(replica.id()));
+    }
+
     @Test
     void loadThatIsLongOverdueIsForgotten() {
         loads.decide(replica, MODEL, 100);
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -28,6 +28,9 @@
     /** How old an entry of the list may be: a heartbeat, its way into the list and the pause between two looks at it. */
     static final long LIST_LAG_MILLIS = 3_500;
 
+    /** How long a load may be overdue without a word of it: a holder that lives asks the replica many times a second. */
+    static final long MAX_OVERDUE_MILLIS = 1_000;
+
     private final MonotonicClock clock;
     private ListedReplica listed;
     private long bornMillis;
@@ -280,10 +283,12 @@
     /**
      * Returns the model that the replica loads.
      *
-     * @return the model, or empty
+     * @return the model, or empty, also if the load is long overdue and nobody tells of it
      */
     public Optional<ModelName> loading() {
-        return loading;
+        boolean isForgotten = clock.millis() - loadingUntilMillis > MAX_OVERDUE_MILLIS
+                && clock.millis() - ordersHeardMillis > LIST_LAG_MILLIS;
+        return isForgotten ? Optional.empty() : loading;
     }
 
     /**
@@ -341,6 +346,15 @@
         return orders;
     }
 
+    /**
+     * Returns when the holder of the order lease, or the replica itself, last told of its orders.
+     *
+     * @return a reading of the monotonic clock in milliseconds
+     */
+    public long ordersHeardMillis() {
+        return ordersHeardMillis;
+    }
+
     private void restart(Holdings holdings) {
         bornMillis = holdings.bornMillis();
         orders = holdings.orders();
@@ -355,6 +369,7 @@
 
     private void onListedResidents(Map<ModelName, Set<String>> newResidents) {
         if (clock.millis() - ordersHeardMillis < LIST_LAG_MILLIS) {
+            completeLoad(newResidents);
             return;
         }
         if (loading.isPresent()) {
@@ -364,6 +379,17 @@
         }
     }
 
+    /** Takes the end of a load that is due from the list, in case its holder is gone and tells of it no more. */
+    private void completeLoad(Map<ModelName, Set<String>> newResidents) {
+        if (loading.isPresent() && clock.millis() >= loadingUntilMillis) {
+            ModelName model = loading.get();
+            Set<String> adapters = newResidents.get(model);
+            if (adapters != null) {
+                addResidents(Map.of(model, adapters));
+            }
+        }
+    }
+
     /**
      * Adds models whose load has completed. Adapters stay as the accepted orders left them, since a lagging report may
      * still name one that was unloaded.
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -61,6 +61,35 @@
         assertEquals(Map.of(BUSY, Set.of("a2")), state.residents());
     }
 
+    @Test
+    void loadOfAHolderThatIsGoneCompletesByTheList() {
+        state.onOrders(BORN, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
+        nowMillis += 1_200;
+
+        state.onListed(listed(BORN, Set.of(RARE)), true);
+
+        assertTrue(state.holds(RARE, ""));
+        assertTrue(state.holds(BUSY, ""), "other residents stay as the orders left them");
+        assertEquals(Optional.empty(), state.loading());
+    }
+
+    @Test
+    void listThatNamesTheModelBeforeItsLoadIsDueIsOld() {
+        state.onOrders(BORN, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
+
+        state.onListed(listed(BORN, Set.of(BUSY, RARE)), true);
+
+        assertEquals(Optional.of(RARE), state.loading());
+    }
+
+    @Test
+    void loadThatNobodyTellsOfIsForgotten() {
+        state.onOrders(BORN, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
+        nowMillis += 800 + ReplicaState.LIST_LAG_MILLIS;
+
+        assertEquals(Optional.empty(), state.loading());
+    }
+
     @Test
     void listIsIgnoredWhileNewsOfOrdersIsFresh() {
         state.onOrders(BORN, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
