Decide loads again that a holder dropped, and let holders end their own loads

The list ended another load 0.17 s before the replica's holder did; the request that the planner sent at once met a holder that still waited for that end and dropped it. As the planner heard of the replica after its decision, it took the load as under way until 4 s beyond its time.

Ruled out: a silent holder (it told of the replica twice after the decision); a refused order (none was sent).

Change: the list ends a load only when it is 1 s overdue; a decided load that is not started within 0.9 s is decided again, and its replica is left out only if nothing was heard of it meanwhile.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DecidedLoads.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DecidedLoads.java
@@ -73,7 +73,7 @@
      * Checks if loads on a replica are carried out as far as is known.
      *
      * @param replica the replica, not null
-     * @return false for a while after a load of which nothing was heard
+     * @return false for a while after a load that was not started by a holder of which nothing was heard
      */
     boolean isCarriedOut(UpstreamId replica) {
         Long untilMillis = avoidedUntilMillis.get(replica);
@@ -88,13 +88,15 @@
         if (replica.holds(decision.model, "") || now >= decision.expectedMillis + MARGIN.toMillis()) {
             return true;
         }
-        boolean hasNews =
-                replica.orders() != decision.ordersBefore || replica.ordersHeardMillis() > decision.madeMillis;
-        if (hasNews || now - decision.madeMillis < ACCEPT_LIMIT.toMillis()) {
+        boolean isStarted =
+                replica.orders() != decision.ordersBefore || replica.loading().isPresent();
+        if (isStarted || now - decision.madeMillis < ACCEPT_LIMIT.toMillis()) {
             return false;
         }
-        LogEvent.LOAD_NOT_STARTED.log(decision.model, replica.id(), now - decision.madeMillis);
-        avoidedUntilMillis.put(replica.id(), now + AVOIDANCE.toMillis());
+        if (replica.ordersHeardMillis() <= decision.madeMillis) {
+            LogEvent.LOAD_NOT_STARTED.log(decision.model, replica.id(), now - decision.madeMillis);
+            avoidedUntilMillis.put(replica.id(), now + AVOIDANCE.toMillis());
+        }
         return true;
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -379,9 +379,9 @@
         }
     }
 
-    /** Takes the end of a load that is due from the list, in case its holder is gone and tells of it no more. */
+    /** Takes the end of an overdue load from the list: its holder would have told of it, so it is gone. */
     private void completeLoad(Map<ModelName, Set<String>> newResidents) {
-        if (loading.isPresent() && clock.millis() >= loadingUntilMillis) {
+        if (loading.isPresent() && clock.millis() - loadingUntilMillis >= MAX_OVERDUE_MILLIS) {
             ModelName model = loading.get();
             Set<String> adapters = newResidents.get(model);
             if (adapters != null) {
