--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/lease/OrderLease.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/lease/OrderLease.java
@@ -9,7 +9,7 @@
 /**
  * Tells whether this entry may order replicas.
  *
- * <p>The monotonic clock stops while a machine is suspended, and the wall clock may be set. So the lease holds only
+ * <p>The monotonic clock stops while an instance is suspended, and the wall clock may be set. So the lease holds only
  * while neither clock has passed its end and both agree on how much time has gone by.
  *
  * <p>Not safe for use by several threads.
