Show how old the configuration and the replica list of an entry are

The log named the version that an entry activated, not how long it had waited for it, and no metric showed the age of what it serves. Change: TRNG000610 names the time since the previous response of the store; gauges tarragonring_config_age_ms and tarragonring_replicas_age_ms.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -127,7 +127,9 @@
             "load of model %s on replica %s did not start within %s ms, planning loads on other replicas"),
     /** A serving configuration was activated. */
     SERVING_CONFIG_ACTIVATED(
-            610, Logger.Level.INFO, "activated configuration version %s with %s hosts and %s services"),
+            610,
+            Logger.Level.INFO,
+            "activated configuration version %s with %s hosts and %s services, previous response of the store %s ms ago"),
     /** A call was sent to a replica. */
     CALL_SENT(
             710, Logger.Level.INFO, "attempt %s sent to replica %s, in flight there %s, waited %s ms, remaining %s ms"),
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -282,6 +282,8 @@
         metrics.registerGauge(
                 "tarragonring.config.version",
                 () -> config.map(ServingConfig::version).orElse(0L));
+        metrics.registerGauge("tarragonring.config.age.ms", configWatcher::ageMillis);
+        metrics.registerGauge("tarragonring.replicas.age.ms", replicaWatcher::ageMillis);
         metrics.registerGauge("tarragonring.requests.suspected", quarantine::suspectCount);
         metrics.registerGauge("tarragonring.entries.alive", () -> mesh.alive().size());
         metrics.registerGauge("tarragonring.order.groups.held", leaseManager::heldGroupCount);
@@ -328,7 +330,7 @@
             }
             config = Optional.of(decoded);
             LogEvent.SERVING_CONFIG_ACTIVATED.log(
-                    decoded.version(), decoded.hostCount(), decoded.services().size());
+                    decoded.version(), decoded.hostCount(), decoded.services().size(), configWatcher.ageMillis());
             catalog.notifyListeners();
         });
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -44,6 +44,7 @@
     private boolean listed;
     private boolean reachable;
     private long lastFailureMillis;
+    private long lastResponseMillis;
 
     /**
      * Creates a watcher that is not started.
@@ -76,6 +77,7 @@
         this.onChanged = Objects.requireNonNull(onChanged, "onChanged");
         this.onDeleted = Objects.requireNonNull(onDeleted, "onDeleted");
         this.lastFailureMillis = clock.millis() - DELETION_DELAY.toMillis();
+        this.lastResponseMillis = clock.millis();
     }
 
     /** Starts with a listing and then watches until stopped. */
@@ -106,6 +108,17 @@
         return reachable;
     }
 
+    /**
+     * Returns how old the reported objects may be. While the objects of a response are reported, this is still the time
+     * since the response before.
+     *
+     * @return the time since the last response of the store, since the creation of this watcher if there was none; in
+     *     milliseconds
+     */
+    public long ageMillis() {
+        return clock.millis() - lastResponseMillis;
+    }
+
     private void list() {
         if (stopped) {
             return;
@@ -125,6 +138,7 @@
         }
         deletedKeys.forEach(this::scheduleDeletion);
         listed = true;
+        lastResponseMillis = clock.millis();
         watch(snapshot.revision());
     }
 
@@ -148,6 +162,7 @@
         onRequestSucceeded();
         batch.deletedKeys().forEach(this::scheduleDeletion);
         batch.changed().forEach(this::reportChange);
+        lastResponseMillis = clock.millis();
         boolean unchanged = batch.changed().isEmpty() && batch.deletedKeys().isEmpty();
         if (unchanged || batchDelay.isZero()) {
             watch(batch.revision());
