--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/proxy/FaultProxy.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/proxy/FaultProxy.java
@@ -15,7 +15,7 @@
 
 /**
  * Relays TCP connections to a target and simulates network faults: it can delay the data, drop the data of one
- * direction, or close or refuse connections.
+ * direction or of the connections that are open, or close or refuse connections.
  *
  * @since 0.1.0
  */
@@ -25,6 +25,7 @@
     private final HostPort target;
     private final NetClient client;
     private final Set<NetSocket> sockets = ConcurrentHashMap.newKeySet();
+    private final Set<NetSocket> silencedSockets = ConcurrentHashMap.newKeySet();
     private volatile Mode mode = Mode.FORWARD;
     private volatile Duration delay = Duration.ZERO;
     private NetServer server;
@@ -94,6 +95,11 @@
         sockets.clear();
     }
 
+    /** Drops all data of the open connections from now on, without closing them; new connections work. */
+    public void silenceConnections() {
+        silencedSockets.addAll(sockets);
+    }
+
     private void accept(NetSocket caller) {
         if (mode == Mode.REFUSE) {
             caller.close();
@@ -116,6 +122,9 @@
     }
 
     private void handleData(NetSocket from, NetSocket to, Buffer data, boolean isResponse) {
+        if (silencedSockets.contains(from)) {
+            return;
+        }
         switch (mode) {
             case FORWARD -> forward(to, data);
             case DROP_RESPONSES -> {
@@ -150,6 +159,7 @@
 
     private void onClosed(NetSocket closed, NetSocket other) {
         sockets.remove(closed);
+        silencedSockets.remove(closed);
         other.close();
     }
 
