Bound watches of the store by the contact time

Cause: a watch waits on one connection for as long as the store may hold it, 20 s for the configuration. A connection that delivers nothing any more, by a cut, a silent peer or a silent store, was noticed after that time; the platform expects it within the contact time, 3 s. A watch that took long to fail is repeated at once. Ruled out: TCP keep-alive probes, which do not notice a store that accepts requests and is silent; watching again when the watch of the replicas fails, as the connections fall silent one by one.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -55,14 +55,11 @@
  */
 public final class Gateway {
 
-    /** How long the store holds a watch request for the configuration: the maximum that stores allow. */
-    private static final Duration CONFIG_WATCH_TIMEOUT = Duration.ofSeconds(20);
+    /** The part of the contact time for a repeated watch request and for applying what it returns. */
+    private static final Duration REPEATED_WATCH_TIME = Duration.ofMillis(400);
 
-    /**
-     * How long the store holds a watch request for the replicas. A connection that no longer responds is detected
-     * shortly after this time.
-     */
-    private static final Duration REPLICA_WATCH_TIMEOUT = Duration.ofMillis(2_500);
+    /** Keeps the number of watch requests bounded if the contact time is short. */
+    private static final Duration MIN_WATCH_TIMEOUT = Duration.ofMillis(500);
 
     /**
      * How long changes of replicas are collected before the next watch request. Must be shorter than the time within
@@ -148,8 +145,9 @@
                 this::config,
                 clocks.monotonic(),
                 timers);
-        this.quarantine =
-                new RequestQuarantine(settings.id(), mesh, store, clocks.monotonic(), clocks.wall(), timers, random);
+        Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout);
+        this.quarantine = new RequestQuarantine(
+                settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
         this.server = new CallServer(
                 callContext(vertx, dependencies.callCodec, ejections, random, metrics),
                 this::config,
@@ -158,11 +156,11 @@
                 new RetryBudgets(settings.retryBudget(), () -> mesh.alive().size(), clocks.monotonic()),
                 quarantine,
                 loadRouter);
-        this.configWatcher = createWatcher(
-                dependencies.configPrefix, CONFIG_WATCH_TIMEOUT, Duration.ZERO, this::onConfig, key -> {});
+        this.configWatcher =
+                createWatcher(dependencies.configPrefix, watchTimeout, Duration.ZERO, this::onConfig, key -> {});
         this.replicaWatcher = createWatcher(
                 dependencies.replicaPrefix,
-                REPLICA_WATCH_TIMEOUT,
+                watchTimeout,
                 REPLICA_BATCH_DELAY,
                 object -> dependencies.replicaDecoder.apply(object).ifPresent(catalog::put),
                 key -> catalog.remove(new UpstreamId(key.substring(dependencies.replicaPrefix.length()))));
@@ -350,6 +348,15 @@
         return leases;
     }
 
+    /**
+     * Returns how long the store may hold a watch request, so that a request whose response never arrives is repeated
+     * and answered within the contact time.
+     */
+    private static Duration watchTimeout(Duration contactTime, Duration storeTimeout) {
+        Duration timeout = contactTime.minus(storeTimeout).minus(REPEATED_WATCH_TIME);
+        return timeout.compareTo(MIN_WATCH_TIMEOUT) < 0 ? MIN_WATCH_TIMEOUT : timeout;
+    }
+
     private StoreWatcher createWatcher(
             String prefix,
             Duration watchTimeout,
@@ -364,6 +371,8 @@
      * The external systems that a gateway uses, and the decoders of their data.
      *
      * @param store the store for persistent and shared data, not null
+     * @param storeTimeout how long a request to the store waits for its response, for a watch from the end of the time
+     *     for which the store holds it; not null
      * @param callCodec reads and writes the headers of calls, not null
      * @param replicaClient queries replicas and sends them orders, not null
      * @param configPrefix the prefix of the store keys of the configuration, not null
@@ -373,6 +382,7 @@
      */
     public record Dependencies(
             RevisionedStore store,
+            Duration storeTimeout,
             CallCodec callCodec,
             ReplicaClient replicaClient,
             String configPrefix,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
@@ -15,6 +15,8 @@
  * @param callerAddress the address to listen on for callers, not null
  * @param peerAddress the address to listen on for other entries, not null
  * @param peerKey the secret that all entries share to authenticate their messages, not null
+ * @param contactTime the time after a fault of its connections within which an entry must have caught up with the store,
+ *     not null
  * @param handoverDelay the minimum time between orders of two successive lease holders to one replica, not null
  * @param fencesChecked whether replicas reject orders with an outdated fencing token
  * @param shutdownLimit the maximum duration of a shutdown, not null
@@ -27,6 +29,7 @@
         HostPort callerAddress,
         HostPort peerAddress,
         String peerKey,
+        Duration contactTime,
         Duration handoverDelay,
         boolean fencesChecked,
         Duration shutdownLimit,
@@ -39,6 +42,7 @@
         Objects.requireNonNull(callerAddress, "callerAddress");
         Objects.requireNonNull(peerAddress, "peerAddress");
         Objects.requireNonNull(peerKey, "peerKey");
+        Objects.requireNonNull(contactTime, "contactTime");
         Objects.requireNonNull(handoverDelay, "handoverDelay");
         Objects.requireNonNull(shutdownLimit, "shutdownLimit");
         Objects.requireNonNull(retryBudget, "retryBudget");
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -24,7 +24,7 @@
  */
 public final class StoreWatcher {
 
-    /** The delay before a failed request is sent again, so that a failing store is not overloaded. */
+    /** The shortest time from a request that fails to the next one, so that a failing store is not overloaded. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
     /** The delay of deletions after a store failure; expired objects are written again within two seconds. */
@@ -123,9 +123,10 @@
         if (stopped) {
             return;
         }
+        long sentMillis = clock.millis();
         store.snapshot(prefix).subscribe().with(this::onSnapshot, failure -> {
             onRequestFailed(failure);
-            timers.schedule(RETRY_DELAY, this::list);
+            timers.schedule(retryDelay(sentMillis), this::list);
         });
     }
 
@@ -146,6 +147,7 @@
         if (stopped) {
             return;
         }
+        long sentMillis = clock.millis();
         store.watch(prefix, revision, watchTimeout).subscribe().with(this::onBatch, failure -> {
             if (failure instanceof StoreException e && e.kind() == StoreException.Kind.HISTORY_GONE) {
                 LogEvent.DEPENDENCY_STATE.log(
@@ -154,7 +156,7 @@
                 return;
             }
             onRequestFailed(failure);
-            timers.schedule(RETRY_DELAY, () -> watch(revision));
+            timers.schedule(retryDelay(sentMillis), () -> watch(revision));
         });
     }
 
@@ -171,6 +173,12 @@
         }
     }
 
+    /** Returns the delay before a failed request is repeated: none if it took long to fail. */
+    private Duration retryDelay(long sentMillis) {
+        Duration remaining = RETRY_DELAY.minusMillis(clock.millis() - sentMillis);
+        return remaining.isNegative() ? Duration.ZERO : remaining;
+    }
+
     private void reportChange(StoredObject object) {
         knownKeys.add(object.key());
         pendingDeletions.remove(object.key());
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
@@ -35,9 +35,6 @@
     /** The prefix of the store keys of quarantined requests; the rest of a key is the fingerprint. */
     public static final String PREFIX = "tarragonring-quarantine/";
 
-    /** How long the store holds a watch request. A connection that no longer responds is detected shortly after. */
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(5);
-
     private static final Duration WRITE_RETRY_DELAY = Duration.ofMillis(1_000);
     private static final Duration CLEANUP_PERIOD = Duration.ofSeconds(60);
 
@@ -55,6 +52,7 @@
      * Creates records that are not read yet.
      *
      * @param store the store, not null
+     * @param watchTimeout how long the store holds a watch request, not null
      * @param quarantine receives the requests that other entries have quarantined, not null
      * @param clock the monotonic clock, not null
      * @param wallClock the clock of the expiry times, which all entries share approximately; not null
@@ -63,6 +61,7 @@
      */
     public QuarantineRecords(
             RevisionedStore store,
+            Duration watchTimeout,
             Quarantine quarantine,
             MonotonicClock clock,
             InstantSource wallClock,
@@ -74,7 +73,7 @@
         this.timers = Objects.requireNonNull(timers, "timers");
         this.cleansUp = Objects.requireNonNull(cleansUp, "cleansUp");
         this.watcher = new StoreWatcher(
-                PREFIX, WATCH_TIMEOUT, Duration.ZERO, store, clock, timers, this::onStored, this::onDeleted);
+                PREFIX, watchTimeout, Duration.ZERO, store, clock, timers, this::onStored, this::onDeleted);
     }
 
     /** Starts to watch the records and to remove expired ones. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/RequestQuarantine.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/RequestQuarantine.java
@@ -54,6 +54,7 @@
      * @param self the id of this entry, not null
      * @param mesh sends reports to the other entries, not null
      * @param store keeps the quarantined requests, not null
+     * @param watchTimeout how long the store holds a watch request, not null
      * @param clock the monotonic clock, not null
      * @param wallClock the clock of the expiry times in the store, not null
      * @param timers schedules retransmissions and retries, not null
@@ -63,6 +64,7 @@
             EntryId self,
             Mesh mesh,
             RevisionedStore store,
+            Duration watchTimeout,
             MonotonicClock clock,
             InstantSource wallClock,
             Timers timers,
@@ -74,6 +76,7 @@
         this.reports = new FailureReports(self, quarantine, mesh::broadcast, clock, timers);
         this.records = new QuarantineRecords(
                 store,
+                watchTimeout,
                 quarantine,
                 clock,
                 wallClock,
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
@@ -91,6 +91,7 @@
                 ADDRESS,
                 "key",
                 Duration.ofSeconds(3),
+                Duration.ofSeconds(3),
                 true,
                 Duration.ofSeconds(8),
                 new RetryBudgetSettings(0.2, 50, Duration.ofSeconds(10)));
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -111,6 +111,7 @@
                 ADDRESS,
                 "key",
                 Duration.ofSeconds(3),
+                Duration.ofSeconds(3),
                 true,
                 Duration.ofSeconds(8),
                 new RetryBudgetSettings(0.2, 50, Duration.ofSeconds(10)));
