Read a generation from the platform that no other entry sends

An entry of the product's own interface served an older generation than the 14 s of the target allow, while 30% of the datagrams were lost.

Cause: an entry that learned of a newer generation fetched it from the sender; when the fetch failed (5 tries, 1.25 s), it waited for the next datagram that names the generation, and failed again. Change: after a failed fetch it reads the head from the platform.

--- a/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSynchronizer.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSynchronizer.java
@@ -153,9 +153,15 @@
                 .onTermination()
                 .invoke(() -> fetching.set(false))
                 .subscribe()
-                .with(
-                        done -> {},
-                        failure -> LogEvent.CONFIG_FETCH_FAILED.log(highestGenerationSeen.get(), failure.getMessage()));
+                .with(done -> {}, this::onFetchFailed);
+    }
+
+    /** Reads from the platform what another entry did not send, as the next datagram with its generation may be late. */
+    private void onFetchFailed(Throwable failure) {
+        LogEvent.CONFIG_FETCH_FAILED.log(highestGenerationSeen.get(), failure.getMessage());
+        if (running) {
+            readHead();
+        }
     }
 
     /** Fetches the missing chunks from another entry, and those that it does not supply from the platform. */
