--- a/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSynchronizer.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/ConfigSynchronizer.java
@@ -38,7 +38,9 @@
  */
 public final class ConfigSynchronizer {
 
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
+    /** A watch that is never answered is repeated early enough for a generation to be active everywhere within 14 s. */
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(8);
+
     private static final Duration RELAY_CHECK_INTERVAL = Duration.ofSeconds(1);
     private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
     private static final int MEAN_FALLBACK_READ_INTERVAL_SECONDS = 60;
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigPropagationTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/ConfigPropagationTest.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonring.config.ConfigManifest;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.operator.ConfigRepository;
@@ -101,6 +103,19 @@
         assertTrue(entry.control().isReady());
     }
 
+    // Guards against a generation that is not active in time, as the relays wait for answers that never arrive.
+    @ParameterizedTest
+    @ValueSource(longs = {40, 41, 42, 43, 44})
+    void publishedConfigBecomesActiveAfterTheStoreLeftWatchesUnanswered(long seed) {
+        Fleet fleet = Fleet.startNew(seed, 3, 1, true, 10);
+        fleet.watchesSilent = true;
+        fleet.runFor(Duration.ofSeconds(21));
+        fleet.watchesSilent = false;
+        fleet.publish(10, 2);
+        fleet.runFor(MAX_PROPAGATION_TIME);
+        assertGenerationOnAllEntries(fleet, 2);
+    }
+
     @Test
     void entriesStayReadyDuringPlatformOutage() {
         Fleet fleet = Fleet.startNew(38, 6, 1, true, 10);
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/Fleet.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/Fleet.java
@@ -51,6 +51,10 @@
     final FleetInvariants invariants = new FleetInvariants(this);
     long platformRequests;
     boolean platformDown;
+
+    /** Whether the store accepts watches and never answers them, so that they end by the time-out of the entry. */
+    boolean watchesSilent;
+
     double responseLossProbability;
     double datagramLossProbability;
 
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/FleetEntry.java
@@ -73,7 +73,11 @@
         control = new ControlPlane(
                 settings(),
                 new InterceptedObjectStore(
-                        new FaultyObjectStore(fleet.store, fleet.time, this::nextFault), this::deliverToProcess),
+                        new FaultyObjectStore(
+                                new SilenceableStore(fleet.store, fleet.time, () -> fleet.watchesSilent),
+                                fleet.time,
+                                this::nextFault),
+                        this::deliverToProcess),
                 new Clocks(fleet.time, fleet.time),
                 timers,
                 (to, datagram) -> send(to, datagram),
