Check a replica that broke off a run a second time

A request that crashes replicas reached more of them than necessary: a crash did not count until the list showed the new process.

Cause: an entry that loses a response opens a connection to see whether the replica is gone. A process that ends closes its sockets one after the other, so the connection may be accepted after others were closed; then the run counted only when the replica registered again. Change: a check that succeeds is repeated after 150 ms.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -120,7 +120,7 @@
         this.localResponses = Objects.requireNonNull(localResponses, "localResponses");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.durationEstimator = new CallDurationEstimator(clock);
-        this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client);
+        this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
         this.context =
                 new Attempt.Context(codec, ejections, clock, durationEstimator, failureMonitor, localResponses, this);
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaFailureMonitor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaFailureMonitor.java
@@ -1,5 +1,6 @@
 package org.tarragonring.gateway.forward;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 
@@ -13,6 +14,7 @@
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.routing.FailedRun;
+import org.tarragonring.time.Timers;
 
 /**
  * Detects that a replica has failed, and reports the requests that it was running then. A lost response alone is no
@@ -22,16 +24,29 @@
  */
 final class ReplicaFailureMonitor {
 
+    /**
+     * The time until a replica that broke off a run is checked once more. A process that ends closes its sockets one
+     * after the other, so that it may accept a connection after it has closed others.
+     */
+    private static final Duration SECOND_CHECK_DELAY = Duration.ofMillis(150);
+
     private final ReplicaRuns runs;
     private final RequestQuarantine quarantine;
     private final Ejections ejections;
     private final HttpClientAgent client;
+    private final Timers timers;
 
-    ReplicaFailureMonitor(ReplicaRuns runs, RequestQuarantine quarantine, Ejections ejections, HttpClientAgent client) {
+    ReplicaFailureMonitor(
+            ReplicaRuns runs,
+            RequestQuarantine quarantine,
+            Ejections ejections,
+            HttpClientAgent client,
+            Timers timers) {
         this.runs = Objects.requireNonNull(runs, "runs");
         this.quarantine = Objects.requireNonNull(quarantine, "quarantine");
         this.ejections = Objects.requireNonNull(ejections, "ejections");
         this.client = Objects.requireNonNull(client, "client");
+        this.timers = Objects.requireNonNull(timers, "timers");
     }
 
     ReplicaRuns.Run onRunStarted(Exchange exchange, ReplicaState replica) {
@@ -55,15 +70,21 @@
 
     /** Checks whether a replica that broke off a run still accepts connections. */
     void checkConnection(ReplicaState replica) {
-        if (replica.listed().draining()) {
-            return;
+        if (!replica.listed().draining()) {
+            connectTo(replica, () -> timers.schedule(SECOND_CHECK_DELAY, () -> connectTo(replica, () -> {})));
         }
+    }
+
+    private void connectTo(ReplicaState replica, Runnable onConnected) {
         RequestOptions options = new RequestOptions()
                 .setHost(replica.listed().address().host())
                 .setPort(replica.listed().address().port())
                 .setMethod(HttpMethod.GET);
         client.request(options)
-                .onSuccess(request -> request.connection().close())
+                .onSuccess(request -> {
+                    request.connection().close();
+                    onConnected.run();
+                })
                 .onFailure(failure -> onUnreachable(replica.id(), failure));
     }
 
