End the process when it is stopped before or during its start

Cause: the shutdown invoked the stop of parts that had not been started; QuarantineRecords.stop met a null, the exception left the shutdown halfway, and nothing ended the process. The class: a stop before the start, or a stop that fails. The product's own entry had it too: serve without a reachable platform did not end after SIGTERM, as the membership did not exist yet. Change: ShutdownSequence runs the steps of a shutdown one after the other and logs those that fail; both paths use it. Parts may be stopped in any order and before their start; nothing starts once the shutdown has begun; the shutdown waits for a start in progress. The entry on the platform ends at the shutdown limit whatever its steps do; serve waits for its start or its stop, whichever ends first. The watches of the store also end now when an entry has stopped.

--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/ServeCommand.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/ServeCommand.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Vertx;
@@ -33,6 +33,8 @@
     @Option(names = "--print-settings", description = "print the effective settings, including defaults, and exit")
     private boolean printSettings;
 
+    private final AtomicInteger signalCount = new AtomicInteger();
+
     @Override
     public Integer call() throws Exception {
         SettingsFile settings = readSettings();
@@ -44,11 +46,18 @@
                 LogOutput.Target.ERROR, settings.text(SettingKey.LOG_FORMAT), settings.text(SettingKey.LOG_LEVEL));
         Vertx vertx = Vertx.vertx();
         Entry entry = new Entry(vertx, settings.toSettings());
-        CountDownLatch stopped = new CountDownLatch(1);
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
         shutDownOnSignals(entry, stopped);
-        entry.start().join();
-        System.out.println("callers " + entry.callerAddress() + " admin " + entry.adminAddress());
-        stopped.await();
+        CompletableFuture<Void> started = entry.start();
+        CompletableFuture.anyOf(started, stopped)
+                .handle((done, failure) -> null)
+                .join();
+        if (isStarted(started)) {
+            System.out.println("callers " + entry.callerAddress() + " admin " + entry.adminAddress());
+        } else if (started.isCompletedExceptionally() && signalCount.get() == 0) {
+            started.join();
+        }
+        stopped.join();
         vertx.close().toCompletionStage().toCompletableFuture().join();
         return ExitCodes.SUCCESS;
     }
@@ -63,12 +72,15 @@
         }
     }
 
-    private static void shutDownOnSignals(Entry entry, CountDownLatch stopped) {
-        AtomicInteger signalCount = new AtomicInteger();
+    private static boolean isStarted(CompletableFuture<Void> started) {
+        return started.isDone() && !started.isCompletedExceptionally();
+    }
+
+    private void shutDownOnSignals(Entry entry, CompletableFuture<Void> stopped) {
         for (String name : new String[] {"TERM", "INT"}) {
             Signal.handle(new Signal(name), signal -> {
                 if (signalCount.incrementAndGet() == 1) {
-                    entry.shutDown().whenComplete((done, failure) -> stopped.countDown());
+                    entry.shutDown().whenComplete((done, failure) -> stopped.complete(null));
                 } else {
                     entry.abortDrain();
                 }
--- a/tarragonring-cli/src/test/java/org/tarragonring/cli/CliProcess.java
+++ b/tarragonring-cli/src/test/java/org/tarragonring/cli/CliProcess.java
@@ -67,6 +67,15 @@
         return Files.readString(errorFile);
     }
 
+    /** Returns the standard error so far, for messages of assertions. */
+    String errorsOrEmpty() {
+        try {
+            return errors();
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                 .start()
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/ControlPlane.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -74,6 +75,7 @@
     private static final Duration LEASE_STALE_AFTER = Duration.ofHours(1);
     private static final Duration LOAD_PERMIT_LIFETIME = Duration.ofSeconds(60);
     private static final Duration LEASE_RETRY_INTERVAL = Duration.ofSeconds(1);
+
     /** Factor from the lease epoch to the first incarnation, which must exceed those of earlier epochs. */
     private static final long INCARNATIONS_PER_EPOCH = 1_000_000;
 
@@ -150,7 +152,7 @@
     }
 
     /**
-     * Acquires the lease, reads which other entries exist and starts all periodic tasks.
+     * Acquires the lease, reads which other entries exist and starts all periodic tasks. Fails if it is stopped before.
      *
      * @param callerAddress the address at which callers reach this entry, not null
      * @param peerAddress the address at which other entries reach this entry, not null
@@ -169,8 +171,11 @@
                 clocks.monotonic(),
                 timers);
         return acquireLease()
-                .chain(this::readOtherEntries)
+                .chain(() -> LeaseMembers.readOthers(objects, settings.id(), INCARNATIONS_PER_EPOCH))
                 .invoke(otherEntries -> {
+                    if (!running) {
+                        throw new CancellationException("the entry was stopped during its start");
+                    }
                     createComponents(callerAddress, peerAddress);
                     otherEntries.forEach(members::seed);
                     startPeriodicTasks();
@@ -179,12 +184,16 @@
     }
 
     /**
-     * Announces to callers and other entries that this entry is shutting down.
+     * Announces to callers and other entries that this entry is shutting down. Does nothing if no other entry can know
+     * this one, as its start has not ended.
      *
      * @return completes when the lease record is marked, or could not be marked; the control plane continues to run
      *     until {@link #stop}
      */
     public Uni<Void> announceShutdown() {
+        if (members == null) {
+            return Uni.createFrom().voidItem();
+        }
         members.leave();
         // Sends the membership update at once instead of with the next probe.
         messenger.broadcast(new PeerMessage.ProbeAck(0));
@@ -315,17 +324,6 @@
                 .replaceWithVoid();
     }
 
-    private Uni<List<Member>> readOtherEntries() {
-        return objects.list("entries/")
-                .map(storedObjects -> storedObjects.stream()
-                        .map(object -> LeaseMembers.toMember(object, INCARNATIONS_PER_EPOCH))
-                        .flatMap(Optional::stream)
-                        .filter(member -> !member.id().equals(settings.id()))
-                        .toList())
-                .onFailure()
-                .recoverWithItem(List.of());
-    }
-
     private void createComponents(HostPort callerAddress, HostPort peerAddress) {
         members = new MemberTable(new Member(
                 settings.id(),
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
@@ -7,7 +7,9 @@
 import java.util.Objects;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.micrometer.core.instrument.Gauge;
@@ -49,6 +51,7 @@
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.routing.Quarantine;
 import org.tarragonring.routing.TargetPicker;
+import org.tarragonring.service.ShutdownSequence;
 import org.tarragonring.spread.FailureReports;
 import org.tarragonring.time.Timers;
 import org.tarragonring.time.VertxTimers;
@@ -93,6 +96,7 @@
     private volatile boolean drainAborted;
     private volatile HostPort callerAddress;
     private volatile HostPort adminAddress;
+    private volatile CompletableFuture<HostPort> listening = CompletableFuture.completedFuture(null);
     private Timers.Task dispatchTask = () -> {};
 
     /**
@@ -155,25 +159,17 @@
      * Starts to listen, then starts the control plane.
      *
      * @return completes when the entry listens and its control plane is started, which may be before the entry is ready
-     *     to serve calls; fails if the entry cannot listen
+     *     to serve calls; fails if the entry cannot listen, or is stopped before it has started
      */
     public CompletableFuture<Void> start() {
         CompletableFuture<Void> started = new CompletableFuture<>();
-        transport
-                .start(settings.peerAddress(), controlPlane::receive)
-                .thenCompose(peerAddress -> listen().toCompletionStage().thenApply(done -> peerAddress))
-                .thenAccept(peerAddress -> controlPlane
-                        .start(callerAddress, peerAddress)
-                        .subscribe()
-                        .with(
-                                done -> {
-                                    connectionLimiter.start();
-                                    dispatchTask =
-                                            timers.scheduleWithFixedDelay(DISPATCH_TICK_PERIOD, dispatchers::tick);
-                                    LogEvent.ENTRY_STARTED.log(settings.id(), callerAddress, peerAddress);
-                                    started.complete(null);
-                                },
-                                started::completeExceptionally))
+        CompletableFuture<HostPort> peerListening = shuttingDown
+                ? CompletableFuture.failedFuture(new CancellationException("the entry was stopped before its start"))
+                : transport.start(settings.peerAddress(), controlPlane::receive);
+        listening = peerListening.thenCompose(
+                peerAddress -> listen().toCompletionStage().thenApply(done -> peerAddress));
+        listening
+                .thenAccept(peerAddress -> startControlPlane(peerAddress, started))
                 .exceptionally(failure -> {
                     started.completeExceptionally(failure);
                     return null;
@@ -181,8 +177,26 @@
         return started;
     }
 
+    private void startControlPlane(HostPort peerAddress, CompletableFuture<Void> started) {
+        if (shuttingDown) {
+            throw new CancellationException("the entry was stopped during its start");
+        }
+        controlPlane
+                .start(callerAddress, peerAddress)
+                .subscribe()
+                .with(
+                        done -> {
+                            connectionLimiter.start();
+                            dispatchTask = timers.scheduleWithFixedDelay(DISPATCH_TICK_PERIOD, dispatchers::tick);
+                            LogEvent.ENTRY_STARTED.log(settings.id(), callerAddress, peerAddress);
+                            started.complete(null);
+                        },
+                        started::completeExceptionally);
+    }
+
     /**
-     * Shuts down gracefully: refuses new calls, waits for the calls in flight, then stops.
+     * Shuts down gracefully: refuses new calls, waits for the calls in flight, then stops. May be invoked at any time,
+     * also before or during the start.
      *
      * @return completes when the entry has stopped; calls that are still in flight at the shutdown limit are aborted
      */
@@ -211,10 +225,15 @@
      * @return completes when closing the servers has ended; never fails
      */
     public CompletableFuture<Void> kill() {
-        controlPlane.stop();
-        connectionLimiter.stop();
-        dispatchTask.cancel();
-        return closeAll();
+        shuttingDown = true;
+        return new ShutdownSequence()
+                .then("control plane", controlPlane::stop)
+                .then("connection limiter", connectionLimiter::stop)
+                .then("dispatchers", dispatchTask::cancel)
+                .thenAwait("start", () -> listening.handle((address, failure) -> null))
+                .thenAwait("servers", this::closeServers)
+                .thenAwait("peer transport", transport::stop)
+                .run();
     }
 
     /**
@@ -392,14 +411,9 @@
         });
     }
 
-    private CompletableFuture<Void> closeAll() {
+    private CompletionStage<?> closeServers() {
         List<Future<Void>> closing = servers.stream().map(HttpServer::close).toList();
-        return Future.join(closing)
-                .otherwiseEmpty()
-                .toCompletionStage()
-                .toCompletableFuture()
-                .thenCompose(done -> transport.stop())
-                .handle((done, failure) -> null);
+        return Future.join(closing).toCompletionStage();
     }
 
     /**
--- a/tarragonring-core/src/main/java/org/tarragonring/entry/LeaseMembers.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/LeaseMembers.java
@@ -1,12 +1,15 @@
 package org.tarragonring.entry;
 
+import java.util.List;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.objects.Json;
 import org.tarragonring.objects.LeaseRecord;
+import org.tarragonring.objects.ObjectStore;
 import org.tarragonring.objects.RecordType;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.peer.Member;
@@ -17,6 +20,25 @@
 
     private LeaseMembers() {}
 
+    /**
+     * Reads the other entries from their lease records.
+     *
+     * @param objects the store, not null
+     * @param self the id of this entry, not null
+     * @param incarnationsPerEpoch the factor by which the lease epoch is multiplied to get the incarnation
+     * @return the entries that are not shutting down; empty if the store fails
+     */
+    static Uni<List<Member>> readOthers(ObjectStore objects, EntryId self, long incarnationsPerEpoch) {
+        return objects.list(RecordType.LEASE.prefix())
+                .map(storedObjects -> storedObjects.stream()
+                        .map(object -> toMember(object, incarnationsPerEpoch))
+                        .flatMap(Optional::stream)
+                        .filter(member -> !member.id().equals(self))
+                        .toList())
+                .onFailure()
+                .recoverWithItem(List.of());
+    }
+
     /**
      * Converts a stored lease record to a member that is considered alive.
      *
@@ -24,7 +46,7 @@
      * @param incarnationsPerEpoch the factor by which the lease epoch is multiplied to get the incarnation
      * @return the member, or empty if the entry is shutting down
      */
-    static Optional<Member> toMember(StoredObject object, long incarnationsPerEpoch) {
+    private static Optional<Member> toMember(StoredObject object, long incarnationsPerEpoch) {
         String entryId = object.key().substring(RecordType.LEASE.prefix().length());
         LeaseRecord lease = Json.MAPPER.convertValue(
                 Json.read(object.value(), JsonNode.class).path("body"), LeaseRecord.class);
--- /dev/null
+++ b/tarragonring-core/src/main/java/org/tarragonring/service/package-info.java
@@ -0,0 +1,2 @@
+/** The life cycle of services. */
+package org.tarragonring.service;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -40,6 +40,7 @@
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.routing.Ejections;
+import org.tarragonring.service.ShutdownSequence;
 import org.tarragonring.time.Delays;
 import org.tarragonring.time.Timers;
 import org.tarragonring.time.VertxTimers;
@@ -90,6 +91,8 @@
     private final CallServer server;
     private final Function<StoredObject, Optional<ServingConfig>> configDecoder;
     private Optional<ServingConfig> config = Optional.empty();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private CompletableFuture<Void> started = CompletableFuture.completedFuture(null);
     private boolean shuttingDown;
     private boolean joined;
 
@@ -169,46 +172,68 @@
     }
 
     /**
-     * Starts listening and watching the store.
+     * Starts listening and watching the store. Starts nothing more once the shutdown has begun.
      *
-     * @return a future that completes when callers can connect; the entry may not be ready to serve them yet
+     * @return a future that completes when callers can connect, or the start has ended due to a shutdown; the entry may
+     *     not be ready to serve callers yet
      */
     public CompletableFuture<Void> start() {
+        if (shuttingDown) {
+            return CompletableFuture.completedFuture(null);
+        }
         long startMillis = clocks.monotonic().millis();
         configWatcher.start();
         replicaWatcher.start();
         quarantine.start();
-        return mesh.start().thenCompose(peer -> server.start()).thenRun(() -> {
-            leaseManager.start();
-            loadRouter.start();
-            planning.start();
-            LogEvent.GATEWAY_STARTED.log(
-                    settings.id(),
-                    settings.callerAddress(),
-                    settings.peerAddress(),
-                    clocks.monotonic().millis() - startMillis);
-            joinWhenReady();
-        });
+        started = mesh.start()
+                .thenCompose(peer -> shuttingDown ? CompletableFuture.completedFuture(null) : server.start())
+                .thenRun(() -> onListening(startMillis));
+        return started;
+    }
+
+    private void onListening(long startMillis) {
+        if (shuttingDown) {
+            return;
+        }
+        leaseManager.start();
+        loadRouter.start();
+        planning.start();
+        LogEvent.GATEWAY_STARTED.log(
+                settings.id(),
+                settings.callerAddress(),
+                settings.peerAddress(),
+                clocks.monotonic().millis() - startMillis);
+        joinWhenReady();
     }
 
     /**
      * Shuts down gracefully: directs callers to other entries, refuses waiting calls, releases the order leases and
-     * waits until the calls in flight have ended or the shutdown limit has passed.
+     * waits until the calls in flight have ended or the shutdown limit has passed. May be invoked at any time, also
+     * before or during the start.
      *
      * @return a future that completes when the entry has stopped, even if stopping failed
      */
     public CompletableFuture<Void> shutDown() {
+        if (shuttingDown) {
+            return stopped;
+        }
         shuttingDown = true;
         LogEvent.GATEWAY_SHUTTING_DOWN.log(settings.id(), server.inFlight());
-        server.beginShutdown();
-        timers.schedule(MIN_DRAIN_TIME, server::refuseNewCalls);
-        mesh.leave();
-        planning.stop();
-        quarantine.stop();
-        leaseManager.stop();
-        CompletableFuture<Void> stopped = new CompletableFuture<>();
-        long startMillis = clocks.monotonic().millis();
-        waitUntilDrained(startMillis, stopped);
+        new ShutdownSequence()
+                .then("waiting calls", server::beginShutdown)
+                .then("new calls", () -> timers.schedule(MIN_DRAIN_TIME, server::refuseNewCalls))
+                .then("membership", mesh::leave)
+                .then("planning", planning::stop)
+                .then("quarantine", quarantine::stop)
+                .then("order leases", leaseManager::stop)
+                .thenAwait("start", () -> started.handle((done, failure) -> null))
+                .thenAwait("calls in flight", this::drain)
+                .thenAwait("call server", server::stop)
+                .thenAwait("mesh", mesh::stop)
+                .then("configuration watch", configWatcher::stop)
+                .then("replica watch", replicaWatcher::stop)
+                .run()
+                .thenRun(() -> stopped.complete(null));
         return stopped;
     }
 
@@ -310,15 +335,22 @@
         return config.isPresent() && replicaWatcher.isListed() && quarantine.isListed();
     }
 
-    private void waitUntilDrained(long startMillis, CompletableFuture<Void> stopped) {
+    /** Waits until the calls in flight have ended and callers have stopped to use this entry, if it has joined. */
+    private CompletableFuture<Void> drain() {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        completeWhenDrained(clocks.monotonic().millis(), drained);
+        return drained;
+    }
+
+    private void completeWhenDrained(long startMillis, CompletableFuture<Void> drained) {
         long waitedMillis = clocks.monotonic().millis() - startMillis;
-        boolean isDrained = server.inFlight() == 0 && waitedMillis >= MIN_DRAIN_TIME.toMillis();
+        boolean isDrained = server.inFlight() == 0 && (!joined || waitedMillis >= MIN_DRAIN_TIME.toMillis());
         if (!isDrained && waitedMillis < settings.shutdownLimit().toMillis()) {
-            timers.schedule(STATE_CHECK_INTERVAL, () -> waitUntilDrained(startMillis, stopped));
+            timers.schedule(STATE_CHECK_INTERVAL, () -> completeWhenDrained(startMillis, drained));
             return;
         }
         LogEvent.GATEWAY_STOPPED.log(settings.id(), server.inFlight());
-        server.stop().thenCompose(done -> mesh.stop()).whenComplete((done, failure) -> stopped.complete(null));
+        drained.complete(null);
     }
 
     private void onConfig(StoredObject object) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -155,7 +155,7 @@
     }
 
     /**
-     * Stops listening and closes the remaining connections.
+     * Stops listening and closes the remaining connections. Does nothing if the server was not started.
      *
      * @return a future that completes when all connections are closed
      */
@@ -163,7 +163,9 @@
         demandReporter.stop();
         callerConnections.stop();
         stallDetector.stop();
-        return server.close().toCompletionStage().toCompletableFuture();
+        return server == null
+                ? CompletableFuture.completedFuture(null)
+                : server.close().toCompletionStage().toCompletableFuture();
     }
 
     /** Refuses all calls that wait for a load, now and later; calls already sent to replicas continue. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
@@ -46,7 +46,7 @@
     private final StoreWatcher watcher;
     private final Map<RequestFingerprint, Stored> stored = new HashMap<>();
     private final Set<RequestFingerprint> pendingWrites = new HashSet<>();
-    private Timers.Task cleanupTask;
+    private Timers.Task cleanupTask = () -> {};
 
     /**
      * Creates records that are not read yet.
