Name the shared prompt parts of a failed attempt

The log named fingerprints of whole requests only. Change: TRNG000713 names the parts of the prompt that other sessions may have. Result: no decision changes.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -139,7 +139,7 @@
     /** A call ended. */
     CALL_ENDED(712, Logger.Level.INFO, "ended status=%s outcome=%s after %s ms, attempts %s, replica %s: %s"),
     /** A replica did not run a call, or failed while running it. */
-    ATTEMPT_FAILED(713, Logger.Level.INFO, "attempt on replica %s failed, request %s, verdict %s: %s"),
+    ATTEMPT_FAILED(713, Logger.Level.INFO, "attempt on replica %s failed, request %s, prompt parts %s, verdict %s: %s"),
     /** A request ran on a replica that failed. */
     REQUEST_SUSPECTED(
             714, Logger.Level.INFO, "request %s ran on replica %s when it failed, failures so far %s, reported by %s"),
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
@@ -33,4 +33,13 @@
         Objects.requireNonNull(adapter, "adapter");
         promptPrefixIds = List.copyOf(promptPrefixIds);
     }
+
+    /**
+     * Returns the parts of the prompt that other sessions may have, too.
+     *
+     * @return the ids without that of the call's own session, the most widely shared first; empty if there are none
+     */
+    public List<String> sharedPromptParts() {
+        return promptPrefixIds.subList(0, Math.max(0, promptPrefixIds.size() - 1));
+    }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -450,6 +450,12 @@
         metrics.countFailedAttempt(verdict.text());
         String request =
                 verdict == Verdict.NOT_RUN ? "not run" : exchange.fingerprint().value();
-        LogEvent.ATTEMPT_FAILED.logForCall(exchange.head.id(), exchange.replica.id(), request, verdict.text(), reason);
+        LogEvent.ATTEMPT_FAILED.logForCall(
+                exchange.head.id(),
+                exchange.replica.id(),
+                request,
+                exchange.head.sharedPromptParts(),
+                verdict.text(),
+                reason);
     }
 }
