Resume streams only at the software version that began them

A caller could get events of two versions: in one response after a replica had failed, or over several calls.

Cause: a stream that broke was resumed at any replica with the model; the software's version was not read from the registrations. Change: a stream is tied to the version that sends its first event. Entries tell two others of the streams they begin, and ask all when a caller takes up a stream that they do not know (Resumes). A stream that no entry knows goes on only while all replicas have run one version for as long as it can have lasted. A call whose version is gone is refused at once. The checks before an attempt moved from Forwarder to QuarantineCheck and StreamResumption.

--- a/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
@@ -8,10 +8,13 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.tarragonring.ids.CallId;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.RequestFingerprint;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.wire.WireAuthorityNotice;
+import org.tarragonring.peer.wire.WireBegunStream;
 import org.tarragonring.peer.wire.WireBody;
 import org.tarragonring.peer.wire.WireDemandReport;
 import org.tarragonring.peer.wire.WireFailedRun;
@@ -19,12 +22,13 @@
 import org.tarragonring.peer.wire.WireLoadRequest;
 import org.tarragonring.peer.wire.WireReplicaNotice;
 import org.tarragonring.peer.wire.WireResident;
+import org.tarragonring.peer.wire.WireStreamReport;
 import org.tarragonring.peer.wire.WireWeightDemand;
 import org.tarragonring.routing.Suspect;
 
 /**
- * Converts the messages of the gateway: demand reports, load requests, replica notices, authority notices and failure
- * reports.
+ * Converts the messages of the gateway: demand reports, load requests, replica notices, authority notices, failure
+ * reports and stream reports.
  */
 final class GatewayMessageCodec {
 
@@ -69,6 +73,14 @@
         if (message instanceof PeerMessage.FailureReport report) {
             return WireBody.failureReport(toWire(report));
         }
+        if (message instanceof PeerMessage.StreamReport report) {
+            return WireBody.streamReport(new WireStreamReport(
+                    report.begun().entrySet().stream()
+                            .map(stream -> new WireBegunStream(
+                                    stream.getKey().value(), stream.getValue().value()))
+                            .toList(),
+                    report.asked().stream().map(CallId::value).toList()));
+        }
         throw new IllegalArgumentException("no wire format is defined for message %s".formatted(message));
     }
 
@@ -89,6 +101,7 @@
                         body.getAuthorityNotice().getGroups(),
                         body.getAuthorityNotice().isWithoutStore());
             case FAILURE_REPORT -> fromWire(body.getFailureReport());
+            case STREAM_REPORT -> fromWire(body.getStreamReport());
             default ->
                 throw new IllegalArgumentException("message type %s is not supported".formatted(body.getSetField()));
         };
@@ -116,6 +129,15 @@
                 wire.getRuns().stream().map(GatewayMessageCodec::fromWire).toList(), answered);
     }
 
+    private static PeerMessage.StreamReport fromWire(WireStreamReport wire) {
+        Map<CallId, SoftwareVersion> begun = new HashMap<>();
+        for (WireBegunStream stream : wire.getBegun()) {
+            begun.put(new CallId(stream.getCallId()), new SoftwareVersion(stream.getSoftwareVersion()));
+        }
+        return new PeerMessage.StreamReport(
+                begun, wire.getAsked().stream().map(CallId::new).toList());
+    }
+
     private static WireFailedRun toWire(PeerMessage.FailedRun run) {
         WireFailedRun wire = new WireFailedRun(
                 run.suspect().fingerprint().value(), run.replica().value(), run.ranMillis(), run.agoMillis());
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -7,11 +7,13 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.tarragonring.ids.CallId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.SlotId;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.routing.Suspect;
 
@@ -197,6 +199,21 @@
      */
     record FailedRun(Suspect suspect, UpstreamId replica, long ranMillis, long agoMillis) {}
 
+    /**
+     * Tells which version of the replicas' software began streams, and asks for that of others.
+     *
+     * @param begun the versions by the ids of the calls that got the first events, not null
+     * @param asked the ids of calls whose version the sender asks for, not null
+     */
+    record StreamReport(Map<CallId, SoftwareVersion> begun, List<CallId> asked) implements PeerMessage {
+
+        /** Makes immutable copies. */
+        public StreamReport {
+            begun = Map.copyOf(begun);
+            asked = List.copyOf(asked);
+        }
+    }
+
     /**
      * An entry's demand for a model, or its use of the model on one replica.
      *
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -128,6 +128,17 @@
   3: optional list<i64> answeredAgoMillis
 }
 
+struct WireBegunStream {
+  1: required string callId
+  2: required string softwareVersion
+}
+
+/** Names streams with the version of the software that began them, and asks for that of others. */
+struct WireStreamReport {
+  1: required list<WireBegunStream> begun
+  2: required list<string> asked
+}
+
 union WireBody {
   1: WireProbe probe
   2: WireProbeAck probeAck
@@ -141,6 +152,7 @@
   10: WireReplicaNotice replicaNotice
   11: WireAuthorityNotice authorityNotice
   12: WireFailureReport failureReport
+  13: WireStreamReport streamReport
 }
 
 /** One datagram between entries. */
--- a/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -9,11 +10,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.tarragonring.ids.CallId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.SlotId;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.routing.Suspect;
 
@@ -87,7 +90,9 @@
                                         new UpstreamId("engine"),
                                         8,
                                         9)),
-                        List.of(new PeerMessage.Answered(new RequestFingerprint("2c3d"), 10))));
+                        List.of(new PeerMessage.Answered(new RequestFingerprint("2c3d"), 10))),
+                new PeerMessage.StreamReport(
+                        Map.of(new CallId("c1"), new SoftwareVersion("v2")), List.of(new CallId("c2"))));
     }
 
     private static Datagram datagram(PeerMessage message) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.tarragonring.gateway.planning.DemandAggregator;
 import org.tarragonring.gateway.planning.PlanningService;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.objects.RevisionedStore;
@@ -88,6 +89,7 @@
     private final LoadRequestRouter loadRouter;
     private final PlanningService planning;
     private final RequestQuarantine quarantine;
+    private final StreamVersions streamVersions;
     private final CallServer server;
     private final Function<StoredObject, Optional<ServingConfig>> configDecoder;
     private Optional<ServingConfig> config = Optional.empty();
@@ -151,6 +153,8 @@
         Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout);
         this.quarantine = new RequestQuarantine(
                 settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
+        this.streamVersions =
+                new StreamVersions(settings.id(), settings.failureDomain(), mesh, clocks.monotonic(), timers);
         this.server = new CallServer(
                 callContext(vertx, dependencies.callCodec, ejections, random, metrics),
                 this::config,
@@ -185,6 +189,7 @@
         configWatcher.start();
         replicaWatcher.start();
         quarantine.start();
+        streamVersions.start();
         started = mesh.start()
                 .thenCompose(peer -> shuttingDown ? CompletableFuture.completedFuture(null) : server.start())
                 .thenRun(() -> onListening(startMillis));
@@ -295,7 +300,9 @@
                 catalog,
                 ejections,
                 mesh,
+                streamVersions,
                 clocks.monotonic(),
+                clocks.wall(),
                 timers,
                 random::nextDouble,
                 metrics);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.tarragonring.ids.CallId;
 import org.tarragonring.ids.ModelName;
 
 /**
@@ -16,6 +17,7 @@
  * @param adapter the required adapter of that model, empty for the base model; not null
  * @param promptPrefixIds the ids of the shared prefix parts of the prompt, from the most to the least widely shared;
  *     the last one belongs to the call's own session; not null
+ * @param resumedStream what the call takes up again, empty if it is a new one; not null
  * @since 0.2.0
  */
 public record CallHead(
@@ -23,7 +25,8 @@
         Optional<Duration> timeout,
         Optional<ModelName> model,
         String adapter,
-        List<String> promptPrefixIds) {
+        List<String> promptPrefixIds,
+        Optional<ResumedStream> resumedStream) {
 
     /** Validates the components and copies the list. */
     public CallHead {
@@ -32,6 +35,7 @@
         Objects.requireNonNull(model, "model");
         Objects.requireNonNull(adapter, "adapter");
         promptPrefixIds = List.copyOf(promptPrefixIds);
+        Objects.requireNonNull(resumedStream, "resumedStream");
     }
 
     /**
@@ -42,4 +46,17 @@
     public List<String> sharedPromptParts() {
         return promptPrefixIds.subList(0, Math.max(0, promptPrefixIds.size() - 1));
     }
+
+    /**
+     * A stream that a caller takes up again after some of its events.
+     *
+     * @param firstCall the call that got the first event, empty if the caller does not tell; not null
+     */
+    public record ResumedStream(Optional<CallId> firstCall) {
+
+        /** Rejects null. */
+        public ResumedStream {
+            Objects.requireNonNull(firstCall, "firstCall");
+        }
+    }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -1,8 +1,10 @@
 package org.tarragonring.gateway.catalog;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -14,6 +16,7 @@
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.peer.PeerMessage;
@@ -37,6 +40,11 @@
     private final Map<UpstreamId, ReplicaState> replicas = new HashMap<>();
     private final List<Runnable> listeners = new ArrayList<>();
     private final List<BiConsumer<UpstreamId, String>> failureListeners = new ArrayList<>();
+
+    /** The times at which a replica of each version was last known to be listed. */
+    private final Map<ServiceName, Map<SoftwareVersion, Long>> versionsSeenMillis = new HashMap<>();
+
+    private Optional<Long> firstListedMillis = Optional.empty();
     private Predicate<UpstreamId> leaseHeldByThisEntry = id -> false;
 
     /**
@@ -85,6 +93,7 @@
      * @param listed the registration, not null
      */
     public void put(ListedReplica listed) {
+        onVersionSeen(listed);
         ReplicaState known = replicas.get(listed.id());
         if (known == null) {
             ReplicaState added = new ReplicaState(listed, clock);
@@ -117,6 +126,7 @@
     public void remove(UpstreamId id) {
         ReplicaState removed = replicas.remove(id);
         if (removed != null) {
+            onVersionSeen(removed.listed());
             LogEvent.REPLICA_REMOVED.log(id);
             if (!removed.listed().draining()) {
                 notifyFailureListeners(id, "its registration was removed");
@@ -209,6 +219,46 @@
                 .toList();
     }
 
+    /**
+     * Returns the version of the software of all replicas of a service, if it has been the same for some time.
+     *
+     * @param service the service, not null
+     * @param wallMillis the time of day, in Unix milliseconds
+     * @param forAtLeast the time, not null
+     * @return the version; empty if replicas of another version may have served in that time
+     */
+    public Optional<SoftwareVersion> onlyVersion(ServiceName service, long wallMillis, Duration forAtLeast) {
+        List<ListedReplica> listed = replicas.values().stream()
+                .map(ReplicaState::listed)
+                .filter(replica -> replica.service().equals(service))
+                .toList();
+        Set<SoftwareVersion> versions = new HashSet<>();
+        listed.forEach(replica -> versions.add(replica.software()));
+        if (versions.size() != 1) {
+            return Optional.empty();
+        }
+        long sinceMillis = clock.millis() - forAtLeast.toMillis();
+        Map<SoftwareVersion, Long> seen = versionsSeenMillis.getOrDefault(service, Map.of());
+        boolean isWatchedLongEnough = firstListedMillis.isPresent() && firstListedMillis.get() <= sinceMillis;
+        boolean isOnlyOneSeen = seen.entrySet().stream()
+                .noneMatch(version -> !versions.contains(version.getKey()) && version.getValue() > sinceMillis);
+        boolean areAllOld = listed.stream()
+                .allMatch(replica -> replica.holdings().processStartMillis() <= wallMillis - forAtLeast.toMillis());
+        return isOnlyOneSeen && (isWatchedLongEnough || areAllOld)
+                ? Optional.of(versions.iterator().next())
+                : Optional.empty();
+    }
+
+    /** Records that a replica of a version is or was listed until now. */
+    private void onVersionSeen(ListedReplica listed) {
+        if (firstListedMillis.isEmpty()) {
+            firstListedMillis = Optional.of(clock.millis());
+        }
+        versionsSeenMillis
+                .computeIfAbsent(listed.service(), service -> new HashMap<>())
+                .put(listed.software(), clock.millis());
+    }
+
     /**
      * Returns the replicas that are not draining but have been ejected by this entry.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -1,6 +1,7 @@
 package org.tarragonring.gateway.forward;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -24,6 +25,7 @@
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
@@ -123,6 +125,7 @@
                 context.timers,
                 callerConnections,
                 localResponses,
+                new StreamResumption(context.streamVersions, context.catalog, context.wallClock),
                 context.metrics);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
@@ -326,7 +329,9 @@
      * @param catalog the known replicas, not null
      * @param ejections the failing replicas that get no calls, not null
      * @param mesh the connection to the other entries, not null
+     * @param streamVersions knows which software version began a stream, not null
      * @param clock the monotonic clock, not null
+     * @param wallClock the clock of the replicas' start times, not null
      * @param timers schedules timeouts and periodic reports, not null
      * @param random returns random numbers from 0 to 1, not null
      * @param metrics records metrics of calls, not null
@@ -339,7 +344,9 @@
             ReplicaCatalog catalog,
             Ejections ejections,
             Mesh mesh,
+            StreamVersions streamVersions,
             MonotonicClock clock,
+            InstantSource wallClock,
             Timers timers,
             DoubleSupplier random,
             GatewayMetrics metrics) {}
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -13,6 +13,7 @@
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.config.Route;
 import org.tarragonring.policy.replica.ReplicaState;
@@ -55,6 +56,9 @@
     /** Whether an attempt has reached a replica, so that the next attempt counts against the retry budget. */
     boolean reachedReplica;
 
+    /** The version of the software that began the stream, which no other version can continue; empty before. */
+    Optional<SoftwareVersion> software = Optional.empty();
+
     boolean loadCheckScheduled;
     /** Whether a part of the response was already forwarded to the caller. */
     boolean responseStarted;
@@ -93,6 +97,11 @@
         return fingerprint;
     }
 
+    /** Returns whether a replica's software can continue the stream, if it has begun. */
+    boolean isContinuedBy(ReplicaState candidate) {
+        return software.isEmpty() || software.get().equals(candidate.listed().software());
+    }
+
     /** Returns the parts of the prompt that other requests may have, too. */
     List<Suspect> promptParts() {
         if (promptParts == null) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -16,6 +16,7 @@
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.budget.RetryBudgets;
@@ -23,8 +24,6 @@
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
-import org.tarragonring.routing.Quarantine;
-import org.tarragonring.routing.Suspect;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
 
@@ -66,13 +65,14 @@
     private final ReplicaPicker picker;
     private final HttpClientAgent client;
     private final RetryBudgets budgets;
-    private final RequestQuarantine quarantine;
+    private final QuarantineCheck quarantineCheck;
     private final ReplicaFailureMonitor failureMonitor;
     private final MonotonicClock clock;
     private final Timers timers;
     private final CallerConnections callerConnections;
     private final LocalResponses localResponses;
     private final WaitingCalls waiting = new WaitingCalls();
+    private final StreamResumption resumption;
     private final GatewayMetrics metrics;
     private final CallDurationEstimator durationEstimator;
     private final Attempt.Context context;
@@ -95,6 +95,7 @@
      * @param timers schedules timeouts and backoff delays, not null
      * @param callerConnections reports callers that disconnect, not null
      * @param localResponses writes the responses that this entry generates itself, not null
+     * @param resumption keeps streams at the software version that began them, not null
      * @param metrics records metrics of calls, not null
      */
     Forwarder(
@@ -109,17 +110,19 @@
             Timers timers,
             CallerConnections callerConnections,
             LocalResponses localResponses,
+            StreamResumption resumption,
             GatewayMetrics metrics) {
         this.codec = Objects.requireNonNull(codec, "codec");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.picker = Objects.requireNonNull(picker, "picker");
         this.client = Objects.requireNonNull(client, "client");
         this.budgets = Objects.requireNonNull(budgets, "budgets");
-        this.quarantine = Objects.requireNonNull(quarantine, "quarantine");
+        this.quarantineCheck = new QuarantineCheck(quarantine, metrics);
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.callerConnections = Objects.requireNonNull(callerConnections, "callerConnections");
         this.localResponses = Objects.requireNonNull(localResponses, "localResponses");
+        this.resumption = Objects.requireNonNull(resumption, "resumption");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.durationEstimator = new CallDurationEstimator(clock);
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
@@ -165,7 +168,20 @@
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
         scheduleTimeout(exchange, exchange.deadlineMillis);
         callerConnections.onCallStarted(exchange.request.connection(), () -> onCallerDisconnected(exchange));
-        dispatch(exchange);
+        if (resumption.isResumedByCaller(exchange)) {
+            resumption.findVersion(exchange).thenAccept(version -> resume(exchange, version));
+        } else {
+            dispatch(exchange);
+        }
+    }
+
+    private void resume(Exchange exchange, Optional<SoftwareVersion> version) {
+        exchange.software = version;
+        if (version.isPresent()) {
+            dispatch(exchange);
+        } else if (!exchange.finished) {
+            refuse(exchange, "it is not known which software version began the stream");
+        }
     }
 
     /** Replaces the timeout of a call by one at the given time of the monotonic clock. */
@@ -197,9 +213,16 @@
         if (endIfQuarantined(exchange)) {
             return;
         }
-        List<ReplicaState> eligible = exchange.weights.isPresent()
+        if (exchange.software.isPresent()
+                && catalog.usable(exchange.service).stream().noneMatch(exchange::isContinuedBy)) {
+            refuse(exchange, "no replica of software version %s is available".formatted(exchange.software.get()));
+            return;
+        }
+        List<ReplicaState> able = exchange.weights.isPresent()
                 ? catalog.ableToRun(exchange.weights.get())
                 : catalog.usable(exchange.service);
+        List<ReplicaState> eligible =
+                able.stream().filter(exchange::isContinuedBy).toList();
         List<ReplicaState> untried = eligible.stream()
                 .filter(r -> !exchange.failedReplicas.contains(r.id()))
                 .toList();
@@ -343,30 +366,9 @@
 
     /** Ends a call whose request is quarantined and may not run now, and returns whether it has ended. */
     private boolean endIfQuarantined(Exchange exchange) {
-        if (exchange.quarantineTrial && exchange.possibleRuns == 0) {
-            return false;
-        }
-        Optional<Quarantine.Refusal> refusal = quarantine.refusal(exchange::suspects);
-        if (refusal.isEmpty()) {
-            exchange.quarantineTrial = quarantine.isQuarantined(exchange::suspects);
-            return false;
-        }
-        refuseQuarantined(
-                exchange, refusal.get().suspect(), refusal.get().remaining().toMillis());
-        return true;
-    }
-
-    private void refuseQuarantined(Exchange exchange, Suspect suspect, long remainingMillis) {
-        metrics.countQuarantined();
-        if (suspect.isPromptPart()) {
-            String part = exchange.head.sharedPromptParts().get(suspect.promptPart() - 1);
-            LogEvent.CALL_WITH_QUARANTINED_PART.logForCall(
-                    exchange.head.id(), part, suspect.fingerprint(), remainingMillis);
-            refuse(exchange, "a part of the prompt made several replicas fail", remainingMillis);
-        } else {
-            LogEvent.CALL_QUARANTINED.logForCall(exchange.head.id(), suspect.fingerprint(), remainingMillis);
-            refuse(exchange, "the request made several replicas fail", remainingMillis);
-        }
+        Optional<QuarantineCheck.Refusal> refusal = quarantineCheck.refusal(exchange);
+        refusal.ifPresent(refused -> refuse(exchange, refused.reason(), refused.retryAfterMillis()));
+        return refusal.isPresent();
     }
 
     private void onTimeout(Exchange exchange) {
@@ -439,6 +441,7 @@
 
     @Override
     public void onFirstEvent(Exchange exchange) {
+        resumption.onFirstEvent(exchange);
         metrics.recordFirstEvent(clock.millis() - exchange.arrivalMillis);
         scheduleTimeout(exchange, exchange.deadlineMillis);
     }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
@@ -22,6 +22,7 @@
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.config.EngineSpec;
@@ -215,7 +216,14 @@
 
     private static ListedReplica listed(Holdings holdings) {
         return new ListedReplica(
-                REPLICA, new ServiceName("assistant"), new HostPort("10.0.0.1", 80), "d", 8, false, holdings);
+                REPLICA,
+                new ServiceName("assistant"),
+                new HostPort("10.0.0.1", 80),
+                "d",
+                new SoftwareVersion("v1"),
+                8,
+                false,
+                holdings);
     }
 
     /** A replica that rejects orders with a wrong order count and counts the orders that exceed its capacity. */
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
@@ -8,6 +8,7 @@
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.policy.replica.ListedReplica.Holdings;
@@ -31,6 +32,7 @@
                     new ServiceName("assistant"),
                     new HostPort("10.0.0.1", 80),
                     "d",
+                    new SoftwareVersion("v1"),
                     8,
                     false,
                     new Holdings(PROCESS_START_MILLIS, 4, Map.of(), Set.of(), Set.of())),
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ListedReplica.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ListedReplica.java
@@ -7,6 +7,7 @@
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 
 /**
@@ -16,6 +17,7 @@
  * @param service the service that the replica belongs to, not null
  * @param address the address that the replica listens on, not null
  * @param failureDomain the failure domain of the replica, not null
+ * @param software the version of the replica's software, not null
  * @param slots the number of requests that the replica runs concurrently
  * @param draining whether the replica is about to shut down and accepts no new calls
  * @param holdings the models that the replica held at its last heartbeat, not null
@@ -26,6 +28,7 @@
         ServiceName service,
         HostPort address,
         String failureDomain,
+        SoftwareVersion software,
         int slots,
         boolean draining,
         Holdings holdings) {
@@ -36,6 +39,7 @@
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(software, "software");
         Objects.requireNonNull(holdings, "holdings");
     }
 
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -13,6 +13,7 @@
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ModelSpec;
@@ -325,6 +326,7 @@
                 new ServiceName("assistant"),
                 new HostPort("10.0.0.1", 8_000),
                 "domain-a",
+                new SoftwareVersion("v1"),
                 64,
                 false,
                 new Holdings(1, 0, residentAdapters, Set.of(), onDisk));
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -9,6 +9,7 @@
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.replica.ListedReplica.Holdings;
 import org.tarragonring.time.MonotonicClock;
@@ -190,6 +191,7 @@
                 new ServiceName("assistant"),
                 new HostPort("10.0.0.1", 8_000),
                 "domain-a",
+                new SoftwareVersion("v1"),
                 64,
                 false,
                 holdings(processStartMillis, Holdings.UNKNOWN_ORDER_COUNT, models));
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/routing/ReplicaPickerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/routing/ReplicaPickerTest.java
@@ -9,6 +9,7 @@
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.policy.replica.ListedReplica.Holdings;
@@ -70,6 +71,7 @@
                 new ServiceName("assistant"),
                 new HostPort("10.0.0.1", 8_000),
                 domain,
+                new SoftwareVersion("v1"),
                 64,
                 false,
                 new Holdings(1, 0, Map.of(MODEL, Set.of()), Set.of(), Set.of()));
