--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -298,6 +298,7 @@
         WeightKey key = exchange.weights.orElseThrow();
         long latestLoadEndMillis = exchange.firstEventDeadlineMillis - MIN_LOAD_TO_FIRST_EVENT_MILLIS;
         boolean isLoadExpected = catalog.usable(key.service()).stream()
+                .filter(exchange::isContinuedBy)
                 .anyMatch(replica -> replica.holds(key.model(), "")
                         || replica.loading().equals(Optional.of(key.model()))
                                 && replica.expectedLoadEndMillis() <= latestLoadEndMillis);
