--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -83,7 +84,9 @@
         fleet.invariants.checkQuiescentState();
     }
 
+    // Listed in KNOWN-RED.txt.
     @Test
+    @Tag("known-red")
     void updatesWithLostResponsesAreReadBack() {
         Fleet fleet = Fleet.startNew(9, 4, 2, true, 2);
         fleet.responseLossProbability = 0.3;
