Introduce an entry that starts through a few others

Cause: an entry probed every registered entry twice when it started. When 95 entries start at once, each of them sends and receives some 750 datagrams with six members each, all authenticated, in code that is not compiled yet. The cost of a start grows with the square of the fleet.

Change: an entry announces itself with one datagram to all and asks four entries at a time for introductions, whose acknowledgement carries 16 members, until the registered entries are known. Members that were introduced are not passed on again. Besides: one Mac instance for each thread, no sort of all pending updates for each datagram, usable members sorted when they are read, and the hashes of members kept for the selection of duties, which every entry does many times a second.

--- a/tarragonring-core/src/main/java/org/tarragonring/membership/FailureDetector.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/membership/FailureDetector.java
@@ -90,6 +90,15 @@
         sender.accept(address, new PeerMessage.Probe(nextSequence()));
     }
 
+    /**
+     * Asks an entry, which need not be a known member, for members that it knows.
+     *
+     * @param address the entry's peer address, not null
+     */
+    public void requestIntroduction(HostPort address) {
+        sender.accept(address, new PeerMessage.Probe(PeerMessage.Probe.INTRODUCTION));
+    }
+
     /**
      * Acknowledges a probe.
      *
--- a/tarragonring-core/src/main/java/org/tarragonring/membership/MemberTable.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/membership/MemberTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.ReentrantLock;
 
@@ -31,7 +32,8 @@
     private final Map<EntryId, Member> members = new ConcurrentHashMap<>();
     private final Map<EntryId, Integer> remainingTransmissions = new HashMap<>();
     private volatile Member self;
-    private volatile List<Member> usable = List.of();
+    /** The usable members, null if it must be determined anew. */
+    private volatile List<Member> usable;
 
     /**
      * Creates a table that contains only this entry.
@@ -133,11 +135,8 @@
             if (remainingTransmissions.isEmpty()) {
                 return List.of();
             }
-            List<EntryId> ids = new ArrayList<>(remainingTransmissions.keySet());
-            ids.sort(Comparator.comparing((EntryId id) -> -remainingTransmissions.get(id))
-                    .thenComparing(Comparator.naturalOrder()));
             List<Member> updates = new ArrayList<>();
-            for (EntryId id : ids.subList(0, Math.min(maxCount, ids.size()))) {
+            for (EntryId id : leastTransmitted(maxCount)) {
                 updates.add(members.get(id));
                 remainingTransmissions.computeIfPresent(id, (key, remaining) -> remaining == 1 ? null : remaining - 1);
             }
@@ -181,7 +180,21 @@
      * @return the members ordered by id, never null
      */
     public List<Member> usable() {
-        return usable;
+        List<Member> current = usable;
+        return current == null ? updateUsable() : current;
+    }
+
+    private List<Member> updateUsable() {
+        lock.lock();
+        try {
+            usable = members.values().stream()
+                    .filter(Member::isUsable)
+                    .sorted(Comparator.comparing(Member::id))
+                    .toList();
+            return usable;
+        } finally {
+            lock.unlock();
+        }
     }
 
     private boolean refute(Member update) {
@@ -194,13 +207,26 @@
         return true;
     }
 
+    private List<EntryId> leastTransmitted(int maxCount) {
+        Comparator<EntryId> order = Comparator.comparing((EntryId id) -> -remainingTransmissions.get(id))
+                .thenComparing(Comparator.naturalOrder());
+        if (remainingTransmissions.size() <= maxCount) {
+            return remainingTransmissions.keySet().stream().sorted(order).toList();
+        }
+        PriorityQueue<EntryId> selected = new PriorityQueue<>(order.reversed());
+        for (EntryId id : remainingTransmissions.keySet()) {
+            selected.add(id);
+            if (selected.size() > maxCount) {
+                selected.remove();
+            }
+        }
+        return selected.stream().sorted(order).toList();
+    }
+
     private void put(Member member) {
         members.put(member.id(), member);
         int bits = Integer.SIZE - Integer.numberOfLeadingZeros(members.size());
         remainingTransmissions.put(member.id(), RETRANSMIT_MULTIPLIER * bits);
-        usable = members.values().stream()
-                .filter(Member::isUsable)
-                .sorted(Comparator.comparing(Member::id))
-                .toList();
+        usable = null;
     }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/DatagramCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/DatagramCodec.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import javax.crypto.Mac;
+
 import org.apache.commons.codec.digest.HmacAlgorithms;
 import org.apache.commons.codec.digest.HmacUtils;
 import org.apache.thrift.TConfiguration;
@@ -52,7 +54,8 @@
     private static final MemberState[] MEMBER_STATES = MemberState.values();
     private static final Notice.Kind[] NOTICE_KINDS = Notice.Kind.values();
 
-    private final byte[] key;
+    /** An initialized instance for each thread, since creating one costs more than authenticating a datagram. */
+    private final ThreadLocal<Mac> macs;
 
     /**
      * Creates a codec.
@@ -64,7 +67,8 @@
         if (Objects.requireNonNull(key, "key").isEmpty()) {
             throw new IllegalArgumentException("peer key must not be empty");
         }
-        this.key = key.getBytes(StandardCharsets.UTF_8);
+        byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
+        this.macs = ThreadLocal.withInitial(() -> HmacUtils.getInitializedMac(HmacAlgorithms.HMAC_SHA_256, keyBytes));
     }
 
     /**
@@ -124,7 +128,7 @@
     }
 
     private byte[] computeTag(byte[] body) {
-        byte[] full = new HmacUtils(HmacAlgorithms.HMAC_SHA_256, key).hmac(body);
+        byte[] full = macs.get().doFinal(body);
         return Arrays.copyOf(full, TAG_BYTES);
     }
 
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -27,9 +27,14 @@
     /**
      * Checks whether an entry responds.
      *
-     * @param sequence the sequence number that identifies the probe
+     * @param sequence the sequence number that identifies the probe, {@link #INTRODUCTION} if the sender has just
+     *     started and its receiver should pass on members with the acknowledgement
      */
-    record Probe(long sequence) implements PeerMessage {}
+    record Probe(long sequence) implements PeerMessage {
+
+        /** The sequence number of probes that request an introduction. */
+        public static final long INTRODUCTION = 0;
+    }
 
     /**
      * Acknowledges a probe.
--- a/tarragonring-core/src/main/java/org/tarragonring/spread/PeerMessenger.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/PeerMessenger.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 
 import org.tarragonring.ids.EntryId;
@@ -26,6 +28,10 @@
 public final class PeerMessenger implements FailureReports.Peers {
 
     private static final int MAX_UPDATES_PER_DATAGRAM = 6;
+
+    /** The members in the acknowledgement of a probe that requests an introduction; they fit into one packet. */
+    private static final int MEMBERS_PER_INTRODUCTION = 16;
+
     private static final Duration REMOVE_UNUSABLE_AFTER = Duration.ofMinutes(5);
 
     private final MemberTable table;
@@ -33,6 +39,7 @@
     private final LongSupplier generation;
     private final PeerTransport transport;
     private final Timers timers;
+    private final AtomicInteger nextIntroduced;
 
     /**
      * Creates a messenger.
@@ -54,6 +61,7 @@
         this.generation = Objects.requireNonNull(generation, "generation");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.timers = Objects.requireNonNull(timers, "timers");
+        this.nextIntroduced = new AtomicInteger(table.self().id().hashCode());
     }
 
     /**
@@ -76,6 +84,15 @@
         transport.sendToAll(otherPeerAddresses(), datagram(message, table.nextUpdates(MAX_UPDATES_PER_DATAGRAM)));
     }
 
+    /**
+     * Sends this entry's state to entries that need not be known members.
+     *
+     * @param receivers the peer addresses, not null
+     */
+    public void announce(Collection<HostPort> receivers) {
+        transport.sendToAll(receivers, datagram(new PeerMessage.ProbeAck(0), List.of(table.self())));
+    }
+
     @Override
     public void send(EntryId to, PeerMessage message) {
         table.find(to).ifPresent(member -> send(member.peerAddress(), message));
@@ -112,6 +129,10 @@
      * @param datagram the datagram, not null
      */
     public void applyPiggybacked(Datagram datagram) {
+        if (datagram.members().size() >= MEMBERS_PER_INTRODUCTION) {
+            datagram.members().forEach(table::seed);
+            return;
+        }
         for (Member update : datagram.members()) {
             boolean isNew = table.find(update.id()).isEmpty();
             if (!table.apply(update)) {
@@ -129,7 +150,8 @@
 
     /**
      * Returns the updates to piggyback. A probe also carries this entry's state, and the receiver's if it is not
-     * considered alive, so that the receiver can refute it.
+     * considered alive, so that the receiver can refute it. The acknowledgement of a probe that requests an
+     * introduction carries this entry's state and further usable members, each time the next ones.
      */
     private List<Member> updatesFor(HostPort to, PeerMessage message) {
         List<Member> updates = new ArrayList<>(table.nextUpdates(MAX_UPDATES_PER_DATAGRAM));
@@ -139,7 +161,23 @@
             table.all().stream()
                     .filter(m -> m.peerAddress().equals(to) && m.state() != MemberState.ALIVE)
                     .forEach(updates::add);
+        } else if (message instanceof PeerMessage.ProbeAck ack && ack.sequence() == PeerMessage.Probe.INTRODUCTION) {
+            return introduction();
         }
         return updates;
     }
+
+    private List<Member> introduction() {
+        List<Member> others = table.usable().stream()
+                .filter(member -> !member.id().equals(table.self().id()))
+                .toList();
+        int count = Math.min(MEMBERS_PER_INTRODUCTION, others.size());
+        int first = nextIntroduced.getAndAdd(count);
+        List<Member> introduced = new ArrayList<>();
+        introduced.add(table.self());
+        for (int i = 0; i < count; i++) {
+            introduced.add(others.get(Math.floorMod(first + i, others.size())));
+        }
+        return introduced;
+    }
 }
--- a/tarragonring-core/src/test/java/org/tarragonring/spread/PeerMessengerTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/spread/PeerMessengerTest.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.tarragonring.ids.EntryId;
@@ -56,6 +58,44 @@
         assertEquals(1, encoded.get(0).notices().size());
     }
 
+    // Guards against a fleet that starts at once exchanging datagrams between all pairs of entries several times.
+    @Test
+    void acknowledgementOfAnIntroductionRequestPassesMembersOn() {
+        MemberTable table = new MemberTable(member(0));
+        for (int i = 1; i <= OTHERS; i++) {
+            table.apply(member(i));
+        }
+        PeerMessenger messenger = messenger(table);
+        Set<EntryId> introduced = new HashSet<>();
+
+        for (int request = 0; request < 2; request++) {
+            messenger.send(member(99).peerAddress(), new PeerMessage.ProbeAck(PeerMessage.Probe.INTRODUCTION));
+            encoded.get(request).members().forEach(member -> introduced.add(member.id()));
+        }
+
+        assertEquals(OTHERS + 1, introduced.size());
+    }
+
+    @Test
+    void introducedMembersAreKnownButNotPassedOn() {
+        MemberTable introducer = new MemberTable(member(0));
+        for (int i = 1; i <= OTHERS; i++) {
+            introducer.apply(member(i));
+        }
+        messenger(introducer).send(member(99).peerAddress(), new PeerMessage.ProbeAck(PeerMessage.Probe.INTRODUCTION));
+        MemberTable newcomer = new MemberTable(member(99));
+
+        messenger(newcomer).applyPiggybacked(encoded.get(0));
+
+        assertEquals(18, newcomer.usable().size());
+        assertEquals(List.of(member(99)), newcomer.nextUpdates(30));
+    }
+
+    private PeerMessenger messenger(MemberTable table) {
+        return new PeerMessenger(
+                table, new NoticeDisseminator(() -> 0, notice -> {}), () -> 0, transport, (delay, action) -> () -> {});
+    }
+
     private static Member member(int number) {
         HostPort address = new HostPort("10.0.0." + (number + 1), 7_000);
         return new Member(new EntryId("entry-" + number), 1, MemberState.ALIVE, address, address, "domain");
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
@@ -6,13 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.stream.Collectors;
 
 import io.vertx.core.Vertx;
 import org.tarragonring.gateway.GatewaySettings;
-import org.tarragonring.home.Rendezvous;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.log.LogEvent;
@@ -64,6 +66,8 @@
     private final MemberTable table;
     private final PeerMessenger messenger;
     private final FailureDetector detector;
+    private final EntryContacts contacts;
+    private final DutyRanking ranking = new DutyRanking();
     private final Map<Class<? extends PeerMessage>, BiConsumer<EntryId, PeerMessage>> handlers = new HashMap<>();
 
     /**
@@ -100,6 +104,13 @@
         NoticeDisseminator notices = new NoticeDisseminator(clock, notice -> {});
         this.messenger = new PeerMessenger(table, notices, () -> 0, transport, timers);
         this.detector = new FailureDetector(table, MEMBERSHIP_TIMING, timers, clock, random, messenger::send);
+        this.contacts = new EntryContacts(
+                messenger::announce,
+                detector::requestIntroduction,
+                this::knownAddresses,
+                MEMBERSHIP_TIMING.probeTimeout(),
+                timers,
+                random);
     }
 
     /**
@@ -208,16 +219,7 @@
      *     alive
      */
     public EntryId entryFor(String duty) {
-        List<Member> alive = alive();
-        if (alive.isEmpty()) {
-            return settings.id();
-        }
-        List<Member> withStore =
-                alive.stream().filter(member -> !isWithoutStore(member.id())).toList();
-        List<Member> candidates = withStore.isEmpty() ? alive : withStore;
-        return Rendezvous.rank(duty, candidates, member -> member.id().value())
-                .get(0)
-                .id();
+        return ranking.first(duty, alive(), id -> !isWithoutStore(id)).orElse(settings.id());
     }
 
     /**
@@ -268,23 +270,27 @@
         store.list(ENTRY_PREFIX)
                 .subscribe()
                 .with(
-                        objects -> objects.forEach(this::contact),
+                        objects -> contacts.contact(objects.stream()
+                                .flatMap(object -> peerAddress(object).stream())
+                                .filter(address -> !address.equals(settings.peerAddress()))
+                                .toList()),
                         failure -> timers.schedule(STORE_RETRY_DELAY, this::contactOthers));
     }
 
-    private void contact(StoredObject object) {
+    private static Optional<HostPort> peerAddress(StoredObject object) {
         try {
-            Registration other = Json.read(object.value(), Registration.class);
-            HostPort address = HostPort.parse(other.peerAddress());
-            if (!address.equals(settings.peerAddress())) {
-                detector.probeNow(address);
-                timers.schedule(MEMBERSHIP_TIMING.probeTimeout(), () -> detector.probeNow(address));
-            }
+            return Optional.of(
+                    HostPort.parse(Json.read(object.value(), Registration.class).peerAddress()));
         } catch (RuntimeException e) {
             LogEvent.STORED_OBJECT_INVALID.log(object.key(), "peerAddress", "cannot be read: " + e.getMessage());
+            return Optional.empty();
         }
     }
 
+    private Set<HostPort> knownAddresses() {
+        return table.usable().stream().map(Member::peerAddress).collect(Collectors.toSet());
+    }
+
     private void receive(Datagram datagram) {
         messenger.applyPiggybacked(datagram);
         PeerMessage message = datagram.message();
