Derive the delay between lists of replicas from the drain time

Cause: changes of replicas were collected for 700 ms, which fits a drain time of two seconds.

Change: the delay is half of what the drain time leaves after the watch, 700 ms at two seconds as before, 1.2 s at three, 1.7 s at four and more.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -63,11 +63,13 @@
     /** Keeps the number of watch requests bounded if the contact time is short. */
     private static final Duration MIN_WATCH_TIMEOUT = Duration.ofMillis(500);
 
-    /**
-     * How long changes of replicas are collected before the next watch request. Must be shorter than the time within
-     * which a draining replica must stop receiving calls.
-     */
-    private static final Duration REPLICA_BATCH_DELAY = Duration.ofMillis(700);
+    /** The part of the drain time for the watch request that returns a change, and for one repetition of it. */
+    private static final Duration REPLICA_WATCH_TIME = Duration.ofMillis(600);
+
+    private static final Duration MIN_REPLICA_BATCH_DELAY = Duration.ofMillis(100);
+
+    /** Keeps registrations younger than the states of replicas assume. */
+    private static final Duration MAX_REPLICA_BATCH_DELAY = Duration.ofMillis(1_700);
 
     private static final Duration STATE_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -168,7 +170,7 @@
         this.replicaWatcher = createWatcher(
                 dependencies.replicaPrefix,
                 watchTimeout,
-                REPLICA_BATCH_DELAY,
+                replicaBatchDelay(settings.drainTime()),
                 object -> dependencies.replicaDecoder.apply(object).ifPresent(catalog::put),
                 key -> catalog.remove(new UpstreamId(key.substring(dependencies.replicaPrefix.length()))));
         this.configDecoder = dependencies.configDecoder;
@@ -396,6 +398,18 @@
         return timeout.compareTo(MIN_WATCH_TIMEOUT) < 0 ? MIN_WATCH_TIMEOUT : timeout;
     }
 
+    /**
+     * Returns how long changes of replicas are collected before the next watch request. Half of the drain time remains
+     * for calls that are about to be sent when the change arrives.
+     */
+    static Duration replicaBatchDelay(Duration drainTime) {
+        Duration delay = drainTime.minus(REPLICA_WATCH_TIME).dividedBy(2);
+        if (delay.compareTo(MIN_REPLICA_BATCH_DELAY) < 0) {
+            return MIN_REPLICA_BATCH_DELAY;
+        }
+        return delay.compareTo(MAX_REPLICA_BATCH_DELAY) < 0 ? delay : MAX_REPLICA_BATCH_DELAY;
+    }
+
     private StoreWatcher createWatcher(
             String prefix,
             Duration watchTimeout,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
@@ -17,6 +17,7 @@
  * @param peerKey the secret that all entries share to authenticate their messages, not null
  * @param contactTime the time after a fault of its connections within which an entry must have caught up with the store,
  *     not null
+ * @param drainTime the time within which a replica that drains must stop receiving calls, not null
  * @param handoverDelay the minimum time between orders of two successive lease holders to one replica, not null
  * @param fencesChecked whether replicas reject orders with an outdated fencing token
  * @param shutdownLimit the maximum duration of a shutdown, not null
@@ -30,6 +31,7 @@
         HostPort peerAddress,
         String peerKey,
         Duration contactTime,
+        Duration drainTime,
         Duration handoverDelay,
         boolean fencesChecked,
         Duration shutdownLimit,
@@ -43,6 +45,7 @@
         Objects.requireNonNull(peerAddress, "peerAddress");
         Objects.requireNonNull(peerKey, "peerKey");
         Objects.requireNonNull(contactTime, "contactTime");
+        Objects.requireNonNull(drainTime, "drainTime");
         Objects.requireNonNull(handoverDelay, "handoverDelay");
         Objects.requireNonNull(shutdownLimit, "shutdownLimit");
         Objects.requireNonNull(retryBudget, "retryBudget");
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
@@ -91,6 +91,7 @@
                 ADDRESS,
                 "key",
                 Duration.ofSeconds(3),
+                Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 true,
                 Duration.ofSeconds(8),
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -111,6 +111,7 @@
                 ADDRESS,
                 "key",
                 Duration.ofSeconds(3),
+                Duration.ofSeconds(2),
                 Duration.ofSeconds(3),
                 true,
                 Duration.ofSeconds(8),
