Let idle entries plan and report less often

Cause: every entry ran the planner's timer and the demand report's timer ten times a second, though one entry plans and few have waiting calls. Each timer that wakes an entry costs it some milliseconds while its code is cold.

Change: an entry that does not plan checks twice a second whether it has to, and at once when a demand report arrives; demand is reported ten times a second only while calls wait. Registrations that only renew a replica no longer make all waiting calls look for a replica; instead they do so ten times a second, as a replica may be available again without a change.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -95,6 +95,7 @@
     public void put(ListedReplica listed) {
         onVersionSeen(listed);
         ReplicaState known = replicas.get(listed.id());
+        boolean changed = true;
         if (known == null) {
             ReplicaState added = new ReplicaState(listed, clock);
             replicas.put(listed.id(), added);
@@ -113,9 +114,18 @@
             if (restarted && !known.listed().draining()) {
                 notifyFailureListeners(listed.id(), "it registered as a new process");
             }
-            update(known, "registration", () -> known.onListed(listed, !leaseHeldByThisEntry.test(listed.id())));
+            boolean sameListing = listed.draining() == known.listed().draining()
+                    && listed.address().equals(known.listed().address())
+                    && listed.service().equals(known.listed().service())
+                    && !restarted;
+            boolean sameState = !update(
+                    known, "registration", () -> known.onListed(listed, !leaseHeldByThisEntry.test(listed.id())));
+            changed = !sameListing || !sameState;
+        }
+        // Most registrations are heartbeats, for which no waiting call need be looked at.
+        if (changed) {
+            notifyListeners();
         }
-        notifyListeners();
     }
 
     /**
@@ -164,12 +174,14 @@
      * @param replica the replica, not null
      * @param source where the update comes from, for the log; not null
      * @param change updates the replica, not null
+     * @return true if the resident models or the model being loaded have changed
      */
-    public void update(ReplicaState replica, String source, Runnable change) {
+    public boolean update(ReplicaState replica, String source, Runnable change) {
         Map<ModelName, Set<String>> before = replica.residents();
         Optional<ModelName> loadingBefore = replica.loading();
         change.run();
-        if (!before.equals(replica.residents()) || !loadingBefore.equals(replica.loading())) {
+        boolean changed = !before.equals(replica.residents()) || !loadingBefore.equals(replica.loading());
+        if (changed) {
             LogEvent.REPLICA_STATE_UPDATED.log(
                     replica.id(),
                     replica.residents(),
@@ -177,6 +189,7 @@
                     replica.acceptedOrders(),
                     source);
         }
+        return changed;
     }
 
     private void notifyFailureListeners(UpstreamId replica, String reason) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -33,8 +33,8 @@
     /** The interval between reports while calls wait. */
     private static final Duration REPORT_PERIOD = Duration.ofMillis(100);
 
-    /** The number of periods between two reports while no call waits. */
-    private static final int IDLE_REPORT_PERIODS = 5;
+    /** The interval between reports while no call waits. */
+    private static final Duration IDLE_REPORT_PERIOD = Duration.ofMillis(500);
 
     /** The delay before a report, so that calls that start to wait together share one report. */
     private static final Duration REPORT_DELAY = Duration.ofMillis(2);
@@ -47,8 +47,8 @@
     private final Timers timers;
     private boolean reportScheduled;
     private boolean lastReportEmpty = true;
-    private int periodsSinceReport;
-    private Timers.Task periodicTask = () -> {};
+    private boolean stopped;
+    private Timers.Task nextReport = () -> {};
 
     DemandReporter(
             Forwarder forwarder,
@@ -67,11 +67,12 @@
 
     void start() {
         forwarder.onWaiting(this::reportSoon);
-        periodicTask = timers.scheduleWithFixedDelay(REPORT_PERIOD, this::onPeriod);
+        reportPeriodically();
     }
 
     void stop() {
-        periodicTask.cancel();
+        stopped = true;
+        nextReport.cancel();
     }
 
     private void reportSoon() {
@@ -79,20 +80,28 @@
             reportScheduled = true;
             timers.schedule(REPORT_DELAY, () -> {
                 reportScheduled = false;
-                report();
+                reportPeriodically();
             });
         }
     }
 
     private void onPeriod() {
-        periodsSinceReport++;
-        if (forwarder.waiting().size() > 0 || periodsSinceReport >= IDLE_REPORT_PERIODS) {
-            report();
+        // A replica may be available again without any change of its registration.
+        forwarder.dispatchWaiting();
+        reportPeriodically();
+    }
+
+    private void reportPeriodically() {
+        nextReport.cancel();
+        if (stopped) {
+            return;
         }
+        report();
+        boolean isIdle = forwarder.waiting().size() == 0;
+        nextReport = timers.schedule(isIdle ? IDLE_REPORT_PERIOD : REPORT_PERIOD, this::onPeriod);
     }
 
     private void report() {
-        periodsSinceReport = 0;
         Map<ModelKey, ModelDemand> demandByModel = new HashMap<>();
         forwarder.drainArrivals().forEach((key, count) -> demandOf(demandByModel, key).arrivals += count);
         for (WeightKey key : forwarder.waiting().keys()) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -48,6 +48,9 @@
 
     private static final Duration PLANNING_PERIOD = Duration.ofMillis(100);
 
+    /** How often an entry that does not plan checks whether it has to. A demand report makes it check at once. */
+    private static final Duration DUTY_CHECK_PERIOD = Duration.ofMillis(500);
+
     /**
      * The minimum time between two runs of the planner. All entries report waiting calls many times a second, and a
      * run for each report would take up the processor of the planning entry.
@@ -113,7 +116,7 @@
             }
         });
         plannedAtMillis = clock.millis() - MIN_PLANNING_INTERVAL.toMillis();
-        periodicPlanning = timers.scheduleWithFixedDelay(PLANNING_PERIOD, this::planSoon);
+        planPeriodically();
     }
 
     /** Stops periodic planning; reports of waiting calls still trigger it. */
@@ -121,6 +124,12 @@
         periodicPlanning.cancel();
     }
 
+    private void planPeriodically() {
+        planSoon();
+        boolean isPlanner = mesh.entryFor(DUTY).equals(self);
+        periodicPlanning = timers.schedule(isPlanner ? PLANNING_PERIOD : DUTY_CHECK_PERIOD, this::planPeriodically);
+    }
+
     private void planSoon() {
         if (planningScheduled) {
             return;
