Do not replace replicas after a single lost status response

One failed status query made an upstream unreachable, an unreachable replica counts as missing and as releasable, and the next successful query made it a surplus. Class of fault: a decision on a single missing response.

Change: an upstream is unreachable when all of its status queries have failed for four seconds, the default suspicion time of entries; while they fail they are repeated four times as often.

Looked for elsewhere: the gateway ejects a replica for half a second after two failures and asks again, it releases nothing.

--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelCoordinator.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelCoordinator.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.ReentrantLock;
 
@@ -34,6 +33,16 @@
 
     private static final Duration MIN_REFRESH_INTERVAL = Duration.ofSeconds(1);
     private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(30);
+
+    /** The minimum interval between status queries of upstreams of which the last one failed. */
+    private static final Duration FAILING_CHECK_INTERVAL = Duration.ofMillis(250);
+
+    /**
+     * How long all status queries of an upstream must fail before its replicas are replaced. A single lost response
+     * does not mean that the upstream is lost.
+     */
+    private static final Duration UNREACHABLE_AFTER = Duration.ofSeconds(4);
+
     private static final Duration INITIAL_LOAD_BACKOFF = Duration.ofMillis(500);
     private static final int MAX_BACKOFF_DOUBLINGS = 5;
     private static final Duration MIN_ETA = Duration.ofMillis(200);
@@ -45,7 +54,9 @@
     private final long createdAtMillis;
     private final ReentrantLock lock = new ReentrantLock();
     private final ModelDemand demand = new ModelDemand();
-    private final Set<UpstreamId> unreachableUpstreams = ConcurrentHashMap.newKeySet();
+    /** Since when the status queries of upstreams have failed without a success in between. */
+    private final Map<UpstreamId, Long> failingSinceMillis = new ConcurrentHashMap<>();
+
     private final List<LoadAttempt> attempts = new ArrayList<>();
     private List<ReplicaView> recordedReplicas = List.of();
     private long recordVersion = -1;
@@ -82,7 +93,8 @@
         try {
             demand.report(from, report, nowMillis());
             boolean hasUnservedCalls = report.queued() > 0 && !recordedReplicas.isEmpty();
-            reconcile = hasUnservedCalls && nowMillis() - refreshedAtMillis >= MIN_REFRESH_INTERVAL.toMillis();
+            Duration interval = failingSinceMillis.isEmpty() ? MIN_REFRESH_INTERVAL : FAILING_CHECK_INTERVAL;
+            reconcile = hasUnservedCalls && nowMillis() - refreshedAtMillis >= interval.toMillis();
         } finally {
             lock.unlock();
         }
@@ -307,9 +319,9 @@
     private Uni<Void> reconcileUpstream(UpstreamId upstream) {
         return context.reconciler()
                 .reconcileUncached(upstream)
-                .invoke(() -> unreachableUpstreams.remove(upstream))
+                .invoke(() -> failingSinceMillis.remove(upstream))
                 .onFailure(failure -> !(failure instanceof StoreException))
-                .invoke(failure -> unreachableUpstreams.add(upstream))
+                .invoke(failure -> failingSinceMillis.putIfAbsent(upstream, nowMillis()))
                 .onFailure()
                 .recoverWithNull();
     }
@@ -369,7 +381,8 @@
 
     /** Marks a replica as unusable if its engine did not respond to the last status request, so that it is replaced. */
     private ReplicaView withReachability(ReplicaView replica) {
-        if (!unreachableUpstreams.contains(replica.upstream())) {
+        Long sinceMillis = failingSinceMillis.get(replica.upstream());
+        if (sinceMillis == null || nowMillis() - sinceMillis < UNREACHABLE_AFTER.toMillis()) {
             return replica;
         }
         return new ReplicaView(
--- a/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
+++ b/tarragonring-standin/src/test/java/org/tarragonring/standin/fleet/LoadFailureTest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -84,15 +83,23 @@
         fleet.invariants.checkQuiescentState();
     }
 
-    // Listed in KNOWN-RED.txt.
+    // Guards against a model that is loaded and released in turn, as one lost status response made its upstream count
+    // as
+    // unreachable.
     @Test
-    @Tag("known-red")
     void updatesWithLostResponsesAreReadBack() {
-        Fleet fleet = Fleet.startNew(9, 4, 2, true, 2);
+        updatesWithLostResponsesAreReadBack(9);
+        for (int seed = 100; seed < 300; seed++) {
+            updatesWithLostResponsesAreReadBack(seed);
+        }
+    }
+
+    private static void updatesWithLostResponsesAreReadBack(int seed) {
+        Fleet fleet = Fleet.startNew(seed, 4, 2, true, 2);
         fleet.responseLossProbability = 0.3;
         keepReportingDemand(fleet, Duration.ofSeconds(20));
-        assertTrue(fleet.isLoaded(MODEL));
-        assertEquals(1, fleet.replicas(MODEL));
+        assertTrue(fleet.isLoaded(MODEL), "not loaded with seed " + seed);
+        assertEquals(1, fleet.replicas(MODEL), "replicas with seed " + seed);
     }
 
     @Test
