Count what a load costs the models that stay on its replica

The log shows one replica of a busy model with 56 adapters load another model from the weight store for 6.1 s, and no adapter in that time.

Cause: a load from the store cost 10 s of waiting wherever a replica held anything, so the replica of a busy model was as good as one that nobody calls.

Change: the cost follows from the load time and from the calls of the models that stay. Loads from disk and memory have it too.

PlacementPlannerTest.loadFromStoreAvoidsReplicaWithBusyModel failed before and passes.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -1,5 +1,6 @@
 package org.tarragonring.policy.placement;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -29,12 +30,14 @@
     /** The cost of a call that misses its latency objective, as caller waiting time. */
     private static final double MISSED_CALL_MILLIS = 3_000;
 
-    /** The cost of each millisecond an unload waits for running calls; the replica cannot load anything meanwhile. */
+    /** The cost of each millisecond in which a replica cannot load anything, as it waits for calls or loads a model. */
     private static final double BLOCKED_WEIGHT = 1.5;
 
     /** What losing one of several replicas costs for each call a second, as waiting. */
     private static final double CONTENTION_COST_MILLIS = 400;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final Map<ModelName, AggregateDemand> demands;
     private final Map<ModelName, Integer> residentReplicas = new HashMap<>();
 
@@ -74,6 +77,26 @@
     }
 
     /** Returns the cost in milliseconds of evicting a model from a replica. */
+    /**
+     * Returns what a load costs the calls of the models that the replica keeps. While it loads, a replica loads no
+     * adapter either, so calls that need one wait until the end.
+     *
+     * @param replica the replica
+     * @param evictions the models that are evicted for the load
+     * @param loadMillis how long the load takes
+     * @return the cost in milliseconds of callers' waiting
+     */
+    double blockingCostMillis(ReplicaSnapshot replica, Collection<ModelName> evictions, long loadMillis) {
+        double callsPerSecond = 0;
+        for (ModelName resident : replica.state().residents().keySet()) {
+            if (!evictions.contains(resident)) {
+                callsPerSecond += demandFor(resident).callsPerSecond() / Math.max(1, residentReplicas(resident));
+            }
+        }
+        double delayedCalls = callsPerSecond * loadMillis / MILLIS_PER_SECOND;
+        return BLOCKED_WEIGHT * loadMillis + delayedCalls * Math.min(loadMillis / 2.0, MISSED_CALL_MILLIS);
+    }
+
     double costMillis(ReplicaSnapshot replica, ModelName model) {
         AggregateDemand demand = demandFor(model);
         double costMillis = BLOCKED_WEIGHT * replica.unloadWaitMillis(model);
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -52,9 +52,6 @@
     /** The total call rate below which the service counts as idle. */
     private static final double IDLE_CALLS_PER_SECOND = 0.5;
 
-    /** The cost of a weight store load to other models, as the replica cannot swap models meanwhile. */
-    private static final double STORE_LOAD_BLOCKING_COST_MILLIS = 10_000;
-
     /** The slack below which calls are so late that a model is loaded from the store despite a local checkpoint. */
     private static final long STORE_LOAD_MAX_SLACK_MILLIS = -2_500;
 
@@ -338,11 +335,9 @@
             if (freeMegabytes < requiredMegabytes || evictionCostMillis >= maxEvictionCostMillis) {
                 return Optional.empty();
             }
-            if (replica.state().nearestTier(model) == CheckpointTier.REMOTE) {
-                evictionCostMillis += replica.state().residents().isEmpty() ? 0 : STORE_LOAD_BLOCKING_COST_MILLIS;
-            }
-            long loadDelayMillis = replica.availableInMillis()
-                    + loadTime(replica.state(), model).toMillis();
+            long loadMillis = loadTime(replica.state(), model).toMillis();
+            evictionCostMillis += evictionCosts.blockingCostMillis(replica, evictions, loadMillis);
+            long loadDelayMillis = replica.availableInMillis() + loadMillis;
             double costMillis =
                     loadDelayMillis * Math.max(1, evictionCosts.demandFor(model).waitingCalls())
                             + evictionCostMillis
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -313,6 +313,21 @@
                 .orElseThrow();
     }
 
+    // Guards against calls of a busy model that wait for an adapter until their deadline, as the replica loads another
+    // model from the weight store and no adapter meanwhile.
+    @Test
+    void loadFromStoreAvoidsReplicaWithBusyModel() {
+        replica("r1", Set.of(BUSY), Set.of(BUSY), Map.of());
+        replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
+        demand(BUSY, 0, 3, 2.8);
+        demand(RARE, 1, 0, 0.1);
+
+        PlannedLoad load = plannedLoadOf(RARE);
+
+        assertEquals(CheckpointTier.REMOTE, load.tier());
+        assertEquals("r2", load.replicaId().value());
+    }
+
     private void demand(ModelName model, int waiting, int running, double callsPerSecond) {
         demands.put(model, new AggregateDemand(model, waiting, running, callsPerSecond, 1_000));
     }
