Tell a loaded adapter to the entries that asked for it

Cause: each order for an adapter was broadcast to all entries, most twice, and every one of them decoded, compared and logged the state.

Change: a loaded adapter is told to the entries that asked; an evicted one to all, once; changes of models to all, twice, as before. Receivers log changes of models; the holder logs adapters, too. Calls that wait for an adapter now also count as waiting for the planner, so that a model whose adapters do not fit gets another replica.

ReplicaLoadExecutorTest.loadedAdapterIsToldToTheEntryThatAskedForIt.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -118,7 +118,7 @@
                     && listed.address().equals(known.listed().address())
                     && listed.service().equals(known.listed().service())
                     && !restarted;
-            boolean sameState = !update(
+            boolean sameState = !updateFromElsewhere(
                     known, "registration", () -> known.onListed(listed, !leaseHeldByThisEntry.test(listed.id())));
             changed = !sameListing || !sameState;
         }
@@ -154,7 +154,7 @@
     public void onNotice(PeerMessage.ReplicaNotice notice) {
         ReplicaState replica = replicas.get(notice.replica());
         if (replica != null && !leaseHeldByThisEntry.test(notice.replica())) {
-            update(
+            updateFromElsewhere(
                     replica,
                     "lease holder",
                     () -> replica.onOrderState(
@@ -177,11 +177,25 @@
      * @return true if the resident models or the model being loaded have changed
      */
     public boolean update(ReplicaState replica, String source, Runnable change) {
+        return update(replica, source, change, true);
+    }
+
+    /**
+     * Does not log changes of adapters alone if the update comes from elsewhere: at every entry, they would be most of
+     * the log, and the holder of the order lease has logged them.
+     */
+    private boolean updateFromElsewhere(ReplicaState replica, String source, Runnable change) {
+        return update(replica, source, change, false);
+    }
+
+    private boolean update(ReplicaState replica, String source, Runnable change, boolean logsAdapters) {
         Map<ModelName, Set<String>> before = replica.residents();
         Optional<ModelName> loadingBefore = replica.loading();
         change.run();
         boolean changed = !before.equals(replica.residents()) || !loadingBefore.equals(replica.loading());
-        if (changed) {
+        boolean modelsChanged =
+                !before.keySet().equals(replica.residents().keySet()) || !loadingBefore.equals(replica.loading());
+        if (modelsChanged || changed && logsAdapters) {
             LogEvent.REPLICA_STATE_UPDATED.log(
                     replica.id(),
                     replica.residents(),
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -149,8 +149,8 @@
                             r -> r.id().value())
                     .get(0);
             loadRouter.route(new PeerMessage.LoadRequest(target.id(), key.model(), key.adapter(), List.of()));
-            return;
         }
+        // Calls that wait for an adapter count, too: replicas whose places are taken need help from another replica.
         ModelDemand demand = demandOf(demandByModel, key);
         for (Exchange exchange : forwarder.waiting().waitingFor(key)) {
             long slackMillis =
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/LoadRequestRouter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/LoadRequestRouter.java
@@ -74,7 +74,7 @@
     public void start() {
         catalog.setLeaseHeldByThisEntry(replica -> leaseManager.leaseOf(replica).isHeld());
         leaseManager.onAcquired(this::refreshReplicas);
-        mesh.on(PeerMessage.LoadRequest.class, (from, request) -> execute(request));
+        mesh.on(PeerMessage.LoadRequest.class, this::execute);
         mesh.on(PeerMessage.ReplicaNotice.class, (from, notice) -> catalog.onNotice(notice));
     }
 
@@ -88,7 +88,7 @@
         Optional<EntryId> holder = leaseManager.holderOf(request.replica());
         holder.ifPresent(entry -> {
             if (entry.equals(self)) {
-                execute(request);
+                execute(self, request);
             } else {
                 mesh.send(entry, request);
             }
@@ -96,14 +96,14 @@
         return holder.isPresent();
     }
 
-    private void execute(PeerMessage.LoadRequest request) {
+    private void execute(EntryId from, PeerMessage.LoadRequest request) {
         ReplicaState replica = catalog.find(request.replica()).orElse(null);
         Optional<EngineSpec> engine = Optional.ofNullable(replica).flatMap(this::engineOf);
         GroupLease lease = leaseManager.leaseOf(request.replica());
         if (engine.isEmpty() || !lease.isHeld()) {
             return;
         }
-        executorOf(replica).submit(request, engine.get());
+        executorOf(replica).submit(from, request, engine.get());
     }
 
     /** Queries the replicas of a group, because the previous holder may have ordered loads without announcing them. */
@@ -126,6 +126,14 @@
         return executors.computeIfAbsent(
                 replica.id(),
                 id -> new ReplicaLoadExecutor(
-                        id, self, leaseManager.leaseOf(id), catalog, client, clock, delays, mesh::broadcast));
+                        id,
+                        self,
+                        leaseManager.leaseOf(id),
+                        catalog,
+                        client,
+                        clock,
+                        delays,
+                        mesh::broadcast,
+                        mesh::send));
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
@@ -5,10 +5,12 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -106,7 +108,8 @@
             ReplicaClient client,
             MonotonicClock clock,
             Delays delays,
-            Consumer<PeerMessage.ReplicaNotice> noticeSender) {
+            Consumer<PeerMessage.ReplicaNotice> broadcaster,
+            BiConsumer<EntryId, PeerMessage.ReplicaNotice> sender) {
         this.id = Objects.requireNonNull(id, "id");
         this.self = Objects.requireNonNull(self, "self");
         this.lease = Objects.requireNonNull(lease, "lease");
@@ -114,18 +117,29 @@
         this.client = Objects.requireNonNull(client, "client");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.delays = Objects.requireNonNull(delays, "delays");
-        this.broadcaster = new ReplicaStateBroadcaster(catalog, noticeSender, clock, delays);
+        this.broadcaster = new ReplicaStateBroadcaster(catalog, broadcaster, sender, clock, delays);
     }
 
-    /** Enqueues a request unless it is already queued; a model load is also dropped if another one is queued. */
-    void submit(PeerMessage.LoadRequest request, EngineSpec engine) {
+    /**
+     * Enqueues a request unless it is already queued; a model load is also dropped if another one is queued.
+     *
+     * @param from the entry that is told when an adapter is loaded, not null
+     * @param request the request, not null
+     * @param engine the engine of the replica's service, not null
+     */
+    void submit(EntryId from, PeerMessage.LoadRequest request, EngineSpec engine) {
         RequestQueue queue = request.adapter().isEmpty() ? modelLoads : adapterLoads;
-        boolean isQueued = queue.requests.stream()
-                .anyMatch(r -> r.model().equals(request.model()) && r.adapter().equals(request.adapter()));
-        if (isQueued || queue == modelLoads && !modelLoads.requests.isEmpty()) {
+        Optional<QueuedRequest> queued = queue.requests.stream()
+                .filter(r -> r.request.model().equals(request.model())
+                        && r.request.adapter().equals(request.adapter()))
+                .findFirst();
+        queued.ifPresent(r -> r.requesters.add(from));
+        if (queued.isPresent() || queue == modelLoads && !modelLoads.requests.isEmpty()) {
             return;
         }
-        queue.requests.addLast(request);
+        QueuedRequest added = new QueuedRequest(request, new LinkedHashSet<>());
+        added.requesters.add(from);
+        queue.requests.addLast(added);
         if (!queue.running) {
             runNext(queue, engine);
         }
@@ -145,23 +159,32 @@
     }
 
     private void runNext(RequestQueue queue, EngineSpec engine) {
-        PeerMessage.LoadRequest request = queue.requests.peekFirst();
+        QueuedRequest next = queue.requests.peekFirst();
         ReplicaState replica = catalog.find(id).orElse(null);
-        if (request == null || replica == null || !lease.isHeld()) {
+        if (next == null || replica == null || !lease.isHeld()) {
             queue.requests.clear();
             queue.running = false;
             return;
         }
         queue.running = true;
         ordersWithoutReply = 0;
-        Uni<Boolean> work =
-                queue == modelLoads ? loadModel(replica, request, engine) : loadAdapter(replica, request, engine);
+        Uni<Boolean> work = queue == modelLoads
+                ? loadModel(replica, next.request, engine)
+                : loadAdapter(replica, next.request, engine)
+                        .invoke(loaded -> onAdapterRequestEnded(replica, next, loaded));
         work.subscribe().with(done -> completeCurrent(queue, engine), failure -> {
             LogEvent.UNEXPECTED_FAILURE.log("orders to replica " + id, failure);
             completeCurrent(queue, engine);
         });
     }
 
+    private void onAdapterRequestEnded(ReplicaState replica, QueuedRequest ended, boolean loaded) {
+        if (loaded) {
+            ended.requesters.remove(self);
+            delays.after(ADAPTER_LOAD_TIME).subscribe().with(done -> broadcaster.send(replica, ended.requesters));
+        }
+    }
+
     private void completeCurrent(RequestQueue queue, EngineSpec engine) {
         queue.requests.pollFirst();
         runNext(queue, engine);
@@ -371,11 +394,12 @@
         if (!order.load() && order.adapter().isEmpty()) {
             replica.onUnloadAccepted(order.model());
         }
-        if (order.load() && !order.adapter().isEmpty()) {
+        if (order.adapter().isEmpty()) {
+            broadcaster.broadcast(replica);
+        } else if (order.load()) {
             replica.markUnavailable(order.model(), order.adapter(), ADAPTER_LOAD_TIME.toMillis());
-            delays.after(ADAPTER_LOAD_TIME).subscribe().with(done -> broadcaster.broadcast(replica));
         } else {
-            broadcaster.broadcast(replica);
+            broadcaster.broadcastOnce(replica);
         }
     }
 
@@ -424,7 +448,7 @@
                     boolean replacesState = report.holdings().acceptedOrders() != replica.acceptedOrders()
                             || report.holdings().processStartMillis() != replica.processStartMillis()
                             || !isStateVerified(replica);
-                    catalog.update(replica, "report", () -> {
+                    boolean changed = catalog.update(replica, "report", () -> {
                         if (replacesState) {
                             replica.replaceHoldings(report.holdings());
                         } else {
@@ -434,7 +458,11 @@
                     if (replacesState && report.holdings().acceptedOrders() >= replica.acceptedOrders()) {
                         verifiedFence = report.busy() ? 0 : lease.fence();
                     }
-                    broadcaster.broadcast(replica);
+                    if (changed) {
+                        broadcaster.broadcast(replica);
+                    } else {
+                        broadcaster.broadcastUnchanged(replica);
+                    }
                 })
                 .replaceWithVoid()
                 .onFailure()
@@ -470,9 +498,17 @@
     }
 
     /** Requests that are executed one at a time. Adapters have their own queue, so they do not wait for model loads. */
+    /**
+     * A request that waits for its turn or is being executed.
+     *
+     * @param request the request
+     * @param requesters the entries that sent it
+     */
+    private record QueuedRequest(PeerMessage.LoadRequest request, Set<EntryId> requesters) {}
+
     private static final class RequestQueue {
 
-        private final Deque<PeerMessage.LoadRequest> requests = new ArrayDeque<>();
+        private final Deque<QueuedRequest> requests = new ArrayDeque<>();
         private boolean running;
     }
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
@@ -45,6 +45,7 @@
 
     private static final UpstreamId REPLICA = new UpstreamId("r1");
     private static final EntryId SELF = new EntryId("entry-1");
+    private static final EntryId OTHER = new EntryId("other");
     private static final ModelName FIRST_MODEL = new ModelName("m1");
     private static final ModelName SECOND_MODEL = new ModelName("m2");
 
@@ -54,6 +55,7 @@
     private final ReplicaCatalog catalog = new ReplicaCatalog(clock, new Ejections(clock));
     private final FakeReplica replica = new FakeReplica();
     private final List<PeerMessage.ReplicaNotice> notices = new ArrayList<>();
+    private final List<EntryId> told = new ArrayList<>();
     private ReplicaLoadExecutor executor;
 
     @BeforeEach
@@ -70,7 +72,8 @@
         lease.acquire(Optional.empty()).await().indefinitely();
         replica.models.put(FIRST_MODEL, new HashSet<>());
         catalog.put(listed(replica.holdings(Holdings.UNKNOWN_ORDER_COUNT)));
-        executor = new ReplicaLoadExecutor(REPLICA, SELF, lease, catalog, replica, clock, delays, notices::add);
+        executor = new ReplicaLoadExecutor(
+                REPLICA, SELF, lease, catalog, replica, clock, delays, notices::add, (to, notice) -> told.add(to));
     }
 
     @Test
@@ -197,8 +200,21 @@
         assertEquals(7, notices.get(0).sequence());
     }
 
+    // Guards against hundreds of datagrams for each adapter that one entry asked for.
+    @Test
+    void loadedAdapterIsToldToTheEntryThatAskedForIt() {
+        request(FIRST_MODEL, "a1", List.of());
+        int broadcasts = notices.size();
+
+        request(FIRST_MODEL, "a2", List.of());
+        request(FIRST_MODEL, "a2", List.of());
+
+        assertEquals(List.of(OTHER, OTHER, OTHER), told);
+        assertEquals(broadcasts, notices.size());
+    }
+
     private void request(ModelName model, String adapter, List<ModelName> evict) {
-        executor.submit(new PeerMessage.LoadRequest(REPLICA, model, adapter, evict), engine());
+        executor.submit(OTHER, new PeerMessage.LoadRequest(REPLICA, model, adapter, evict), engine());
         while (!timers.isEmpty()) {
             timers.remove().run();
         }
