--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelCoordinator.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelCoordinator.java
@@ -37,10 +37,7 @@
     /** The minimum interval between status queries of upstreams of which the last one failed. */
     private static final Duration FAILING_CHECK_INTERVAL = Duration.ofMillis(250);
 
-    /**
-     * How long all status queries of an upstream must fail before its replicas are replaced. A single lost response
-     * does not mean that the upstream is lost.
-     */
+    /** How long all status queries of an upstream must fail before its replicas are replaced. */
     private static final Duration UNREACHABLE_AFTER = Duration.ofSeconds(4);
 
     private static final Duration INITIAL_LOAD_BACKOFF = Duration.ofMillis(500);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
@@ -1,11 +1,8 @@
 package org.tarragonring.gateway.orders;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -97,8 +94,8 @@
      */
     private int ordersWithoutReply;
 
-    private final RequestQueue modelLoads = new RequestQueue();
-    private final RequestQueue adapterLoads = new RequestQueue();
+    private final LoadRequestQueue modelLoads = new LoadRequestQueue();
+    private final LoadRequestQueue adapterLoads = new LoadRequestQueue();
 
     ReplicaLoadExecutor(
             UpstreamId id,
@@ -128,18 +125,11 @@
      * @param engine the engine of the replica's service, not null
      */
     void submit(EntryId from, PeerMessage.LoadRequest request, EngineSpec engine) {
-        RequestQueue queue = request.adapter().isEmpty() ? modelLoads : adapterLoads;
-        Optional<QueuedRequest> queued = queue.requests.stream()
-                .filter(r -> r.request.model().equals(request.model())
-                        && r.request.adapter().equals(request.adapter()))
-                .findFirst();
-        queued.ifPresent(r -> r.requesters.add(from));
-        if (queued.isPresent() || queue == modelLoads && !modelLoads.requests.isEmpty()) {
+        LoadRequestQueue queue = request.adapter().isEmpty() ? modelLoads : adapterLoads;
+        if (queue.isQueued(from, request) || queue == modelLoads && !modelLoads.isEmpty()) {
             return;
         }
-        QueuedRequest added = new QueuedRequest(request, new LinkedHashSet<>());
-        added.requesters.add(from);
-        queue.requests.addLast(added);
+        queue.add(from, request);
         if (!queue.running) {
             runNext(queue, engine);
         }
@@ -158,19 +148,19 @@
                                 failure -> LogEvent.UNEXPECTED_FAILURE.log("state query of replica " + id, failure)));
     }
 
-    private void runNext(RequestQueue queue, EngineSpec engine) {
-        QueuedRequest next = queue.requests.peekFirst();
+    private void runNext(LoadRequestQueue queue, EngineSpec engine) {
+        LoadRequestQueue.Item next = queue.first();
         ReplicaState replica = catalog.find(id).orElse(null);
         if (next == null || replica == null || !lease.isHeld()) {
-            queue.requests.clear();
+            queue.clear();
             queue.running = false;
             return;
         }
         queue.running = true;
         ordersWithoutReply = 0;
         Uni<Boolean> work = queue == modelLoads
-                ? loadModel(replica, next.request, engine)
-                : loadAdapter(replica, next.request, engine)
+                ? loadModel(replica, next.request(), engine)
+                : loadAdapter(replica, next.request(), engine)
                         .invoke(loaded -> onAdapterRequestEnded(replica, next, loaded));
         work.subscribe().with(done -> completeCurrent(queue, engine), failure -> {
             LogEvent.UNEXPECTED_FAILURE.log("orders to replica " + id, failure);
@@ -178,15 +168,15 @@
         });
     }
 
-    private void onAdapterRequestEnded(ReplicaState replica, QueuedRequest ended, boolean loaded) {
+    private void onAdapterRequestEnded(ReplicaState replica, LoadRequestQueue.Item ended, boolean loaded) {
         if (loaded) {
-            ended.requesters.remove(self);
-            delays.after(ADAPTER_LOAD_TIME).subscribe().with(done -> broadcaster.send(replica, ended.requesters));
+            ended.requesters().remove(self);
+            delays.after(ADAPTER_LOAD_TIME).subscribe().with(done -> broadcaster.send(replica, ended.requesters()));
         }
     }
 
-    private void completeCurrent(RequestQueue queue, EngineSpec engine) {
-        queue.requests.pollFirst();
+    private void completeCurrent(LoadRequestQueue queue, EngineSpec engine) {
+        queue.removeFirst();
         runNext(queue, engine);
     }
 
@@ -498,17 +488,4 @@
     }
 
     /** Requests that are executed one at a time. Adapters have their own queue, so they do not wait for model loads. */
-    /**
-     * A request that waits for its turn or is being executed.
-     *
-     * @param request the request
-     * @param requesters the entries that sent it
-     */
-    private record QueuedRequest(PeerMessage.LoadRequest request, Set<EntryId> requesters) {}
-
-    private static final class RequestQueue {
-
-        private final Deque<QueuedRequest> requests = new ArrayDeque<>();
-        private boolean running;
-    }
 }
