Confirm with the store that one software version serves before resuming an unknown stream

The users' report, from another operator: during a release one entry was out of step for a few seconds, cut off or standing still, while replicas of a newer version joined. Streams that had begun at these through other entries were taken up there and went on at a replica of the older version.

It could happen here: an entry that knows no version of a stream resumes it if all replicas it knows have run one version for long enough, and an entry that is cut off knows the older replicas only. Class of fault: a conclusion from the absence of something in a list whose age is not looked at.

Change: the entry first reads the registered replicas from the store, and refuses the call, with Retry-After, if another version is among them or the store does not respond. For the caller a refusal is best: it can take the stream up at another entry, or begin anew, while a joined text looks complete.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.tarragonring.entry.Clocks;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.ReplicaClient;
+import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.follow.StoreWatcher;
 import org.tarragonring.gateway.forward.CallServer;
@@ -158,7 +159,7 @@
         this.streamVersions =
                 new StreamVersions(settings.id(), settings.failureDomain(), mesh, clocks.monotonic(), timers);
         this.server = new CallServer(
-                callContext(vertx, dependencies.callCodec, ejections, random, metrics),
+                callContext(vertx, dependencies, ejections, random, metrics),
                 this::config,
                 this::canServe,
                 () -> shuttingDown,
@@ -293,13 +294,14 @@
     }
 
     private CallServer.Context callContext(
-            Vertx vertx, CallCodec callCodec, Ejections ejections, Random random, GatewayMetrics metrics) {
+            Vertx vertx, Dependencies dependencies, Ejections ejections, Random random, GatewayMetrics metrics) {
         return new CallServer.Context(
                 vertx,
                 settings.callerAddress(),
                 settings.failureDomain(),
-                callCodec,
+                dependencies.callCodec,
                 catalog,
+                new CurrentReplicas(store, dependencies.replicaPrefix, dependencies.replicaDecoder),
                 ejections,
                 mesh,
                 streamVersions,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -20,6 +20,7 @@
 import io.vertx.core.http.PoolOptions;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.CallHead;
+import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
@@ -125,7 +126,8 @@
                 context.timers,
                 callerConnections,
                 localResponses,
-                new StreamResumption(context.streamVersions, context.catalog, context.wallClock),
+                new StreamResumption(
+                        context.streamVersions, context.catalog, context.currentReplicas, context.wallClock),
                 context.metrics);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
@@ -327,6 +329,7 @@
      * @param failureDomain this entry's failure domain, not null
      * @param codec reads and writes the headers of calls, not null
      * @param catalog the known replicas, not null
+     * @param currentReplicas reads the registered replicas from the store, not null
      * @param ejections the failing replicas that get no calls, not null
      * @param mesh the connection to the other entries, not null
      * @param streamVersions knows which software version began a stream, not null
@@ -342,6 +345,7 @@
             String failureDomain,
             CallCodec codec,
             ReplicaCatalog catalog,
+            CurrentReplicas currentReplicas,
             Ejections ejections,
             Mesh mesh,
             StreamVersions streamVersions,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.tarragonring.gateway.call.CallHead;
+import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.ids.CallId;
@@ -25,9 +26,12 @@
 
     private final StreamVersions versions;
     private final ReplicaCatalog catalog;
+    private final CurrentReplicas currentReplicas;
     private final InstantSource wallClock;
 
-    StreamResumption(StreamVersions versions, ReplicaCatalog catalog, InstantSource wallClock) {
+    StreamResumption(
+            StreamVersions versions, ReplicaCatalog catalog, CurrentReplicas currentReplicas, InstantSource wallClock) {
+        this.currentReplicas = Objects.requireNonNull(currentReplicas, "currentReplicas");
         this.versions = Objects.requireNonNull(versions, "versions");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.wallClock = Objects.requireNonNull(wallClock, "wallClock");
@@ -44,7 +48,28 @@
         return firstCall(exchange)
                 .map(versions::find)
                 .orElse(CompletableFuture.completedFuture(Optional.empty()))
-                .thenApply(version -> version.or(() -> onlyVersion(exchange)));
+                .thenCompose(version -> version.isPresent()
+                        ? CompletableFuture.completedFuture(version)
+                        : confirmedOnlyVersion(exchange));
+    }
+
+    /**
+     * Returns the only version that the catalog knows if the store confirms it: an entry that was suspended or cut off
+     * does not know the replicas of a newer version that joined meanwhile, and the stream may have begun at one.
+     */
+    private CompletableFuture<Optional<SoftwareVersion>> confirmedOnlyVersion(Exchange exchange) {
+        Optional<SoftwareVersion> only = onlyVersion(exchange);
+        if (only.isEmpty()) {
+            return CompletableFuture.completedFuture(only);
+        }
+        return currentReplicas
+                .read()
+                .thenApply(replicas -> replicas.isPresent()
+                                && replicas.get().stream()
+                                        .filter(replica -> replica.service().equals(exchange.service))
+                                        .allMatch(replica -> replica.software().equals(only.get()))
+                        ? only
+                        : Optional.empty());
     }
 
     /** Returns the version of all replicas, if none of another one has served since the stream can have begun. */
