Find the events of a stream without regular expressions

The code of each log line was formatted anew.

Change: bytes are scanned in place, and a chunk that ends with an event is passed on as it is. The code of a log event is a constant.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -168,14 +168,14 @@
     private static final Logger LOGGER = Logger.getLogger("org.tarragonring");
     private static final String CALL_ID_KEY = "callId";
 
-    private final int number;
     private final Logger.Level level;
     private final String format;
+    private final String code;
 
     LogEvent(int number, Logger.Level level, String format) {
-        this.number = number;
         this.level = level;
         this.format = format;
+        this.code = "TRNG" + String.valueOf(1_000_000 + number).substring(1);
     }
 
     /**
@@ -184,7 +184,7 @@
      * @return {@code TRNG} and six digits
      */
     public String code() {
-        return "TRNG%06d".formatted(number);
+        return code;
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -297,7 +297,7 @@
                 return;
             }
             Buffer events = exchange.framer.feed(bytes);
-            if (exchange.framer.partial().length() > MAX_EVENT_BYTES) {
+            if (exchange.framer.partialLength() > MAX_EVENT_BYTES) {
                 onBroken("an event is longer than %d bytes".formatted(MAX_EVENT_BYTES));
                 return;
             }
@@ -318,7 +318,7 @@
             if (ended || exchange.finished) {
                 return;
             }
-            if (connectionFailed || exchange.framer.partial().length() > 0 || !exchange.responseStarted) {
+            if (connectionFailed || exchange.framer.partialLength() > 0 || !exchange.responseStarted) {
                 onBroken("the stream ended before the end of an event");
                 return;
             }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/EventFramer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/EventFramer.java
@@ -1,6 +1,7 @@
 package org.tarragonring.gateway.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
@@ -13,9 +14,10 @@
  */
 final class EventFramer {
 
-    private static final String ID_FIELD = "id:";
+    private static final byte[] ID_FIELD = {'i', 'd', ':'};
+    private static final byte[] NOTHING = {};
 
-    private Buffer pending = Buffer.buffer();
+    private byte[] pending = NOTHING;
     private Optional<String> lastId = Optional.empty();
     private int eventCount;
 
@@ -26,26 +28,25 @@
      * @return all events that are complete now and were not returned before, empty if there are none
      */
     Buffer feed(Buffer bytes) {
-        int searchedBytes = pending.length();
-        pending.appendBuffer(bytes);
-        int end = endOfLastEvent(searchedBytes);
+        int searchedBytes = pending.length;
+        byte[] joined = append(pending, bytes.getBytes());
+        int end = endOfLastEvent(joined, searchedBytes);
+        pending = end == joined.length ? NOTHING : Arrays.copyOfRange(joined, end, joined.length);
         if (end == 0) {
             return Buffer.buffer();
         }
-        Buffer completeEvents = pending.getBuffer(0, end);
-        pending = pending.getBuffer(end, pending.length());
-        recordIds(completeEvents.toString(StandardCharsets.UTF_8));
-        return completeEvents;
+        recordIds(joined, end);
+        return searchedBytes == 0 && end == joined.length ? bytes : Buffer.buffer(Arrays.copyOf(joined, end));
     }
 
     /** Discards the bytes of an incomplete event. */
     void discardPartial() {
-        pending = Buffer.buffer();
+        pending = NOTHING;
     }
 
-    /** Returns the bytes of the incomplete event at the end of the stream, empty if there is none. */
-    Buffer partial() {
-        return pending;
+    /** Returns the number of bytes of the incomplete event at the end of the stream, 0 if there is none. */
+    int partialLength() {
+        return pending.length;
     }
 
     /** Returns the id of the last complete event that had one, empty if there was none. */
@@ -58,17 +59,25 @@
         return eventCount;
     }
 
+    private static byte[] append(byte[] first, byte[] second) {
+        if (first.length == 0) {
+            return second;
+        }
+        byte[] joined = Arrays.copyOf(first, first.length + second.length);
+        System.arraycopy(second, 0, joined, first.length, second.length);
+        return joined;
+    }
+
     /**
      * Returns the offset after the last blank line that ends at or after a position, 0 if there is none. The bytes before
      * that position contain no blank line.
      */
-    private int endOfLastEvent(int searchedBytes) {
-        for (int i = pending.length() - 1; i >= Math.max(1, searchedBytes); i--) {
-            if (pending.getByte(i) != '\n') {
+    private static int endOfLastEvent(byte[] bytes, int searchedBytes) {
+        for (int i = bytes.length - 1; i >= Math.max(1, searchedBytes); i--) {
+            if (bytes[i] != '\n') {
                 continue;
             }
-            byte before = pending.getByte(i - 1);
-            boolean isBlankLine = before == '\n' || before == '\r' && i >= 2 && pending.getByte(i - 2) == '\n';
+            boolean isBlankLine = bytes[i - 1] == '\n' || bytes[i - 1] == '\r' && i >= 2 && bytes[i - 2] == '\n';
             if (isBlankLine) {
                 return i + 1;
             }
@@ -76,12 +85,26 @@
         return 0;
     }
 
-    private void recordIds(String text) {
-        for (String line : text.split("\r?\n")) {
-            if (line.startsWith(ID_FIELD)) {
-                lastId = Optional.of(line.substring(ID_FIELD.length()).trim());
+    private void recordIds(byte[] bytes, int end) {
+        int lineStart = 0;
+        while (lineStart < end) {
+            int lineEnd = lineStart;
+            while (lineEnd < end && bytes[lineEnd] != '\n') {
+                lineEnd++;
+            }
+            if (startsWithId(bytes, lineStart, lineEnd)) {
+                int valueStart = lineStart + ID_FIELD.length;
+                lastId =
+                        Optional.of(new String(bytes, valueStart, lineEnd - valueStart, StandardCharsets.UTF_8).trim());
                 eventCount++;
             }
+            lineStart = lineEnd + 1;
         }
     }
+
+    private static boolean startsWithId(byte[] bytes, int lineStart, int lineEnd) {
+        return Arrays.mismatch(
+                        bytes, lineStart, Math.min(lineEnd, lineStart + ID_FIELD.length), ID_FIELD, 0, ID_FIELD.length)
+                < 0;
+    }
 }
