Read the notices of an introduction, and log the members it names

Found on reading: a datagram that introduces members was left after its members, so notices in it were lost (the product's own interface uses them; entries on the platform send none), and the members it named were not logged as discovered. Two doc comments say what their methods return.

--- a/tarragonring-core/src/main/java/org/tarragonring/spread/PeerMessenger.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/PeerMessenger.java
@@ -129,13 +129,13 @@
      * @param datagram the datagram, not null
      */
     public void applyPiggybacked(Datagram datagram) {
-        if (datagram.members().size() >= MEMBERS_PER_INTRODUCTION) {
-            datagram.members().forEach(table::seed);
-            return;
-        }
+        // Members of an introduction are known to others already and are not passed on.
+        boolean isIntroduction = datagram.members().size() >= MEMBERS_PER_INTRODUCTION;
         for (Member update : datagram.members()) {
             boolean isNew = table.find(update.id()).isEmpty();
-            if (!table.apply(update)) {
+            if (isIntroduction) {
+                table.seed(update);
+            } else if (!table.apply(update)) {
                 continue;
             }
             if (update.isUsable() && isNew) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/CurrentReplicas.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/CurrentReplicas.java
@@ -43,7 +43,7 @@
     /**
      * Reads the replicas.
      *
-     * @return the replicas that are registered after this call, empty if the store does not respond; never fails
+     * @return the replicas that the store lists, empty if it does not respond; never fails
      */
     public CompletableFuture<Optional<List<ListedReplica>>> read() {
         return pending.orElseGet(this::request);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -174,7 +174,7 @@
      * @param replica the replica, not null
      * @param source where the update comes from, for the log; not null
      * @param change updates the replica, not null
-     * @return true if the resident models or the model being loaded have changed
+     * @return true if the resident models, their adapters or the model being loaded have changed
      */
     public boolean update(ReplicaState replica, String source, Runnable change) {
         return update(replica, source, change, true);
