Replace replicas of an upstream that refuses connections at once

Change: a refused connection makes an upstream unreachable at once; only lost responses get the four seconds.

--- a/tarragonring-core/src/main/java/org/tarragonring/placement/ModelCoordinator.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/placement/ModelCoordinator.java
@@ -1,5 +1,6 @@
 package org.tarragonring.placement;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,13 +34,8 @@
 
     private static final Duration MIN_REFRESH_INTERVAL = Duration.ofSeconds(1);
     private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(30);
-
-    /** The minimum interval between status queries of upstreams of which the last one failed. */
-    private static final Duration FAILING_CHECK_INTERVAL = Duration.ofMillis(250);
-
-    /** How long all status queries of an upstream must fail before its replicas are replaced. */
+    private static final Duration FAILED_QUERY_REPEAT_INTERVAL = Duration.ofMillis(250);
     private static final Duration UNREACHABLE_AFTER = Duration.ofSeconds(4);
-
     private static final Duration INITIAL_LOAD_BACKOFF = Duration.ofMillis(500);
     private static final int MAX_BACKOFF_DOUBLINGS = 5;
     private static final Duration MIN_ETA = Duration.ofMillis(200);
@@ -90,7 +86,7 @@
         try {
             demand.report(from, report, nowMillis());
             boolean hasUnservedCalls = report.queued() > 0 && !recordedReplicas.isEmpty();
-            Duration interval = failingSinceMillis.isEmpty() ? MIN_REFRESH_INTERVAL : FAILING_CHECK_INTERVAL;
+            Duration interval = failingSinceMillis.isEmpty() ? MIN_REFRESH_INTERVAL : FAILED_QUERY_REPEAT_INTERVAL;
             reconcile = hasUnservedCalls && nowMillis() - refreshedAtMillis >= interval.toMillis();
         } finally {
             lock.unlock();
@@ -318,11 +314,16 @@
                 .reconcileUncached(upstream)
                 .invoke(() -> failingSinceMillis.remove(upstream))
                 .onFailure(failure -> !(failure instanceof StoreException))
-                .invoke(failure -> failingSinceMillis.putIfAbsent(upstream, nowMillis()))
+                .invoke(failure -> failingSinceMillis.merge(upstream, failingSince(failure), Math::min))
                 .onFailure()
                 .recoverWithNull();
     }
 
+    /** Without a connection there is no process; a response may just be lost. */
+    private long failingSince(Throwable failure) {
+        return failure instanceof ConnectException ? nowMillis() - UNREACHABLE_AFTER.toMillis() : nowMillis();
+    }
+
     private void refreshNow() {
         List<Runnable> actions = new ArrayList<>();
         lock.lock();
