Show streams joined from two software versions after all entries were killed

Tried: two versions side by side for 20 s, the replicas of one leave as planned, all entries are killed and start again after 1 s.

--- /dev/null
+++ b/review/harness/Replica.java
@@ -0,0 +1,164 @@
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Stands in for a sound replica: registers itself, streams events, answers reports and drains as the pages say. */
+final class Replica {
+
+    /** An event of a stream holds this many tokens. */
+    private static final int TOKENS_PER_EVENT = 4;
+
+    /** Answers a request in another way than the sound one; returns null where the sound answer is to follow. */
+    interface Fault {
+        Boolean handle(Http.Message request, Socket socket, OutputStream out) throws Exception;
+    }
+
+    final String id;
+    final String service;
+    final String version;
+    volatile long eventMillis = 200;
+    volatile Fault fault = (request, socket, out) -> null;
+    private final Store store;
+    private final boolean holdsModel;
+    private final long born = System.currentTimeMillis();
+    private final Http.Server server;
+    private volatile boolean draining;
+    private long sequence;
+
+    Replica(String id, String service, String version, boolean holdsModel, Store store) throws Exception {
+        this.id = id;
+        this.service = service;
+        this.version = version;
+        this.holdsModel = holdsModel;
+        this.store = store;
+        this.server = new Http.Server("127.0.0.1", this::handle);
+        register("ready");
+        Case.record("replica %s of version %s registered", id, version);
+    }
+
+    private List<Object> models() {
+        return holdsModel ? List.of(Case.map("name", "m0", "version", 1L, "adapters", List.of())) : List.of();
+    }
+
+    private void register(String state) {
+        store.put(
+                "servers",
+                id,
+                Case.map(
+                        "service", service,
+                        "address", server.address(),
+                        "zone", "sul-br-a",
+                        "version", version,
+                        "slots", 64L,
+                        "state", state,
+                        "cold_remaining_ms", 0L,
+                        "sequence", ++sequence,
+                        "born", born,
+                        "models", models(),
+                        "at_hand", Case.map("in_memory", List.of("m0"), "on_disk", List.of("m0"))));
+    }
+
+    /** Reports that it drains, goes on for a while, then exits and leaves the list. */
+    void drain(long servesMillis) {
+        draining = true;
+        register("draining");
+        Case.record("replica %s drains", id);
+        Case.daemon(() -> {
+            Case.sleep(servesMillis);
+            server.close();
+            store.remove("servers", id);
+            Case.record("replica %s has left", id);
+        });
+    }
+
+    /** Ends like a process that crashes: its connections and its port close, its entry stays until it expires. */
+    void crash() {
+        server.close();
+        Case.record("replica %s crashed", id);
+        Case.daemon(() -> {
+            Case.sleep(3_600);
+            store.remove("servers", id);
+        });
+    }
+
+    private boolean handle(Http.Message request, Socket socket, OutputStream out) throws Exception {
+        String target = request.header("X-Tarragonring-Target-Instance");
+        if (target != null && !target.equals(id)) {
+            Http.respond(out, 421, Map.of("X-Tarragonring-Instance-Id", id), new byte[0]);
+            return true;
+        }
+        if (request.path().equals("/api/report")) {
+            String report = Json.write(Case.map(
+                    "stage", "prefill_decode", "models", models(), "busy", false, "sequence", 0L, "queued", 0L,
+                    "running", 0L, "kv_used", 0L, "kv_total", 232_000L, "handles", 0L, "born", born));
+            Http.respond(out, 200, Map.of("Content-Type", "application/json"), report.getBytes("UTF-8"));
+            return true;
+        }
+        if (request.path().startsWith("/api/")) {
+            Http.respond(out, 400, Map.of(), new byte[0]);
+            return true;
+        }
+        String callId = request.header("X-Tarragonring-Request-Id");
+        Case.record(
+                "run %s at %s after event %s%s",
+                callId, id, request.header("Last-Event-Id"), draining ? " (draining)" : "");
+        Boolean handled = fault.handle(request, socket, out);
+        if (handled != null) {
+            return handled;
+        }
+        if (request.header("X-Tarragonring-Model") != null) {
+            stream(request, out);
+        } else {
+            Http.respond(out, 200, answerHeaders(request), ("record " + callId).getBytes(StandardCharsets.UTF_8));
+        }
+        return true;
+    }
+
+    static int eventCount(Http.Message request) {
+        String tokens = request.header("X-Tarragonring-Token-Count");
+        return Integer.parseInt(tokens.split(",")[1].trim()) / TOKENS_PER_EVENT;
+    }
+
+    static int firstEvent(Http.Message request) {
+        String last = request.header("Last-Event-Id");
+        return last == null ? 1 : Integer.parseInt(last.trim()) + 1;
+    }
+
+    Map<String, String> answerHeaders(Http.Message request) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("X-Tarragonring-Request-Id", request.header("X-Tarragonring-Request-Id"));
+        headers.put("X-Tarragonring-Response-Signature", "3e1b.07.5a2.600.0." + id);
+        return headers;
+    }
+
+    private void stream(Http.Message request, OutputStream out) throws Exception {
+        startStream(request, out);
+        int last = eventCount(request);
+        for (int event = firstEvent(request); event <= last; event++) {
+            sendEvent(out, event);
+        }
+        out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+        Case.record("run %s at %s complete", request.header("X-Tarragonring-Request-Id"), id);
+    }
+
+    void startStream(Http.Message request, OutputStream out) throws Exception {
+        StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+        head.append("Transfer-Encoding: chunked\r\nX-Tarragonring-Weight-Versions: 1\r\n");
+        answerHeaders(request).forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        out.write(head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    void sendEvent(OutputStream out, int event) throws Exception {
+        Case.sleep(eventMillis);
+        String text = "id: %d\ndata: %s says token %d\n\n".formatted(event, version, event);
+        String chunk = Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+        out.write(chunk.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+}
