Show that one entry of another writer stops the watch of the replicas for good

Tried: an entry with a field of another type (a list nested 1,100 deep) in the list of replicas; then a replica drains.

--- a/review/harness/Json.java
+++ b/review/harness/Json.java
@@ -6,6 +6,9 @@
 /** Reads and writes JSON as maps, lists, strings, numbers and booleans. */
 final class Json {
 
+    /** Text that is written as it stands. */
+    record Raw(String text) {}
+
     private final String text;
     private int at;
 
@@ -65,6 +68,8 @@
                 }
             }
             out.append('"');
+        } else if (value instanceof Raw raw) {
+            out.append(raw.text);
         } else {
             out.append(value);
         }
--- a/review/harness/Replica.java
+++ b/review/harness/Replica.java
@@ -12,6 +12,8 @@
     /** An event of a stream holds this many tokens. */
     private static final int TOKENS_PER_EVENT = 4;
 
+    private static final long LOAD_MILLIS = 6_000;
+
     /** Answers a request in another way than the sound one; returns null where the sound answer is to follow. */
     interface Fault {
         Boolean handle(Http.Message request, Socket socket, OutputStream out) throws Exception;
@@ -23,11 +25,14 @@
     volatile long eventMillis = 200;
     volatile Fault fault = (request, socket, out) -> null;
     private final Store store;
-    private final boolean holdsModel;
+    private volatile boolean holdsModel;
     private final long born = System.currentTimeMillis();
     private final Http.Server server;
     private volatile boolean draining;
     private long sequence;
+    private long orders;
+    private long highestFence;
+    private boolean busy;
 
     Replica(String id, String service, String version, boolean holdsModel, Store store) throws Exception {
         this.id = id;
@@ -44,6 +49,10 @@
         return holdsModel ? List.of(Case.map("name", "m0", "version", 1L, "adapters", List.of())) : List.of();
     }
 
+    private List<Object> hasModel() {
+        return holdsModel ? List.of("m0") : List.of();
+    }
+
     private void register(String state) {
         store.put(
                 "servers",
@@ -59,7 +68,7 @@
                         "sequence", ++sequence,
                         "born", born,
                         "models", models(),
-                        "at_hand", Case.map("in_memory", List.of("m0"), "on_disk", List.of("m0"))));
+                        "at_hand", Case.map("in_memory", hasModel(), "on_disk", hasModel())));
     }
 
     /** Reports that it drains, goes on for a while, then exits and leaves the list. */
@@ -92,10 +101,12 @@
             return true;
         }
         if (request.path().equals("/api/report")) {
-            String report = Json.write(Case.map(
-                    "stage", "prefill_decode", "models", models(), "busy", false, "sequence", 0L, "queued", 0L,
-                    "running", 0L, "kv_used", 0L, "kv_total", 232_000L, "handles", 0L, "born", born));
-            Http.respond(out, 200, Map.of("Content-Type", "application/json"), report.getBytes("UTF-8"));
+            Http.respond(out, 200, Map.of("Content-Type", "application/json"), report().getBytes("UTF-8"));
+            return true;
+        }
+        if (request.path().equals("/api/order")) {
+            int status = order(Json.object(new String(request.body, StandardCharsets.UTF_8)));
+            Http.respond(out, status, Map.of(), new byte[0]);
             return true;
         }
         if (request.path().startsWith("/api/")) {
@@ -110,7 +121,9 @@
         if (handled != null) {
             return handled;
         }
-        if (request.header("X-Tarragonring-Model") != null) {
+        if (request.header("X-Tarragonring-Model") != null && !holdsModel) {
+            Http.respond(out, 421, Map.of("X-Tarragonring-Instance-Id", id), new byte[0]);
+        } else if (request.header("X-Tarragonring-Model") != null) {
             stream(request, out);
         } else {
             Http.respond(out, 200, answerHeaders(request), ("record " + callId).getBytes(StandardCharsets.UTF_8));
@@ -118,6 +131,44 @@
         return true;
     }
 
+    private synchronized String report() {
+        return Json.write(Case.map(
+                "stage", "prefill_decode", "models", models(), "busy", busy, "sequence", orders, "queued", 0L,
+                "running", 0L, "kv_used", 0L, "kv_total", 232_000L, "handles", 0L, "born", born,
+                "at_hand", Case.map("in_memory", hasModel(), "on_disk", hasModel())));
+    }
+
+    /** Accepts orders for the one model of the configuration. */
+    private synchronized int order(Map<String, Object> order) {
+        Case.record("order %s at %s", Json.write(order), id);
+        long fence = order.get("fence") instanceof Long given ? given : -1;
+        if (order.get("holder") == null || fence < 0 || order.containsKey("adapter")) {
+            return 400;
+        }
+        if (fence < highestFence) {
+            return 412;
+        }
+        highestFence = fence;
+        boolean isLoad = "load".equals(order.get("op"));
+        if (isLoad == holdsModel && !busy) {
+            return 200;
+        }
+        if (busy || order.get("expected") != null && !order.get("expected").equals(orders)) {
+            return 409;
+        }
+        orders++;
+        busy = true;
+        Case.daemon(() -> {
+            Case.sleep(isLoad ? LOAD_MILLIS : 0);
+            synchronized (this) {
+                holdsModel = isLoad;
+                busy = false;
+                register(draining ? "draining" : "ready");
+            }
+        });
+        return 202;
+    }
+
     static int eventCount(Http.Message request) {
         String tokens = request.header("X-Tarragonring-Token-Count");
         return Integer.parseInt(tokens.split(",")[1].trim()) / TOKENS_PER_EVENT;
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -1,5 +1,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -80,7 +81,8 @@
                 out,
                 reply.status,
                 Map.of("Content-Type", "application/json"),
-                Json.write(reply.body).getBytes("UTF-8"));
+                // all text but that of another writer is ASCII
+                Json.write(reply.body).getBytes(StandardCharsets.ISO_8859_1));
         return true;
     }
 
