--- a/review/harness/AdapterLimit.java
+++ b/review/harness/AdapterLimit.java
@@ -81,12 +81,13 @@
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Tarragonring-Model", adapter);
         headers.put("X-Tarragonring-Token-Count", "250,40");
+        String callId = "%016x".formatted(0x9c41_0000L + number);
+        record("sent %s for %s to %s", callId, adapter, address);
         Client.Answer answer = Client.send(
                 address,
-                Client.request(
-                        "POST", "/query/2f", "%016x".formatted(0x9c41_0000L + number), TIMEOUT_MILLIS, headers,
-                        "prompt".getBytes()),
+                Client.request("POST", "/query/2f", callId, TIMEOUT_MILLIS, headers, "prompt".getBytes()),
                 8_000);
+        record("answer %s: status %d, complete %s %s", callId, answer.status, answer.complete, answer.failure);
         (answer.complete && answer.status == 200 ? answered : refused).incrementAndGet();
     }
 }
--- a/review/harness/AdapterReplica.java
+++ b/review/harness/AdapterReplica.java
@@ -196,6 +196,7 @@
             return;
         }
         String callId = request.header("X-Tarragonring-Request-Id");
+        Case.record("run %s at %s", callId, id);
         StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
         head.append("Transfer-Encoding: chunked\r\nX-Tarragonring-Request-Id: ").append(callId);
         head.append("\r\nX-Tarragonring-Response-Signature: 3e1b.07.").append(id).append("\r\n\r\n");
