Add review case: a watch that is cut off delays the removal of replicas beyond the drain time

Tried: the store cuts off its waiting watches 1 s before each of four replicas is removed from the list.

--- a/review/harness/Replica.java
+++ b/review/harness/Replica.java
@@ -84,6 +84,17 @@
         });
     }
 
+    /** Leaves the list without a report that it drains, goes on for a while, then exits. */
+    void leaveUnannounced(long servesMillis) {
+        store.remove("servers", id);
+        Case.record("replica %s was removed from the list", id);
+        Case.daemon(() -> {
+            Case.sleep(servesMillis);
+            server.close();
+            Case.record("replica %s has exited", id);
+        });
+    }
+
     /** Ends like a process that crashes: its connections and its port close, its entry stays until it expires. */
     void crash() {
         server.close();
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -17,6 +17,10 @@
     private final Http.Server server;
     private final Map<String, TreeMap<String, Map<String, Object>>> kinds = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
+
+    /** The connections on which a watch of a kind waits. */
+    private final Map<Socket, String> waitingWatches = new HashMap<>();
+
     private long revision = 100;
 
     private record Event(String kind, long revision, Map<String, Object> object, boolean deleted) {}
@@ -76,7 +80,7 @@
 
     private boolean handle(Http.Message request, Socket socket, OutputStream out) throws Exception {
         Thread.sleep(ANSWER_MILLIS);
-        Reply reply = reply(request);
+        Reply reply = reply(request, socket);
         Http.respond(
                 out,
                 reply.status,
@@ -88,7 +92,7 @@
 
     private record Reply(int status, Object body) {}
 
-    private Reply reply(Http.Message request) throws Exception {
+    private Reply reply(Http.Message request, Socket socket) throws Exception {
         String[] parts = request.path().split("/");
         if (parts.length < 4 || !parts[1].equals("api") || !parts[2].equals("objects")) {
             return new Reply(404, Map.of());
@@ -96,7 +100,7 @@
         String kind = parts[3];
         String name = parts.length > 4 ? parts[4] : null;
         if (request.method().equals("GET") && name == null) {
-            return request.query("watch") == null ? list(kind, request) : watch(kind, request);
+            return request.query("watch") == null ? list(kind, request) : watch(kind, request, socket);
         }
         synchronized (this) {
             if (request.method().equals("GET")) {
@@ -152,7 +156,28 @@
         return new Reply(200, Map.of("items", items, "more_pages", false, "at", revision));
     }
 
-    private synchronized Reply watch(String kind, Http.Message request) throws InterruptedException {
+    /** Cuts off the watches of a kind that are waiting. */
+    synchronized int cutWatches(String kind) throws java.io.IOException {
+        int count = 0;
+        for (Map.Entry<Socket, String> watch : waitingWatches.entrySet()) {
+            if (watch.getValue().equals(kind)) {
+                watch.getKey().close();
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private synchronized Reply watch(String kind, Http.Message request, Socket socket) throws InterruptedException {
+        waitingWatches.put(socket, kind);
+        try {
+            return awaitEvents(kind, request);
+        } finally {
+            waitingWatches.remove(socket);
+        }
+    }
+
+    private Reply awaitEvents(String kind, Http.Message request) throws InterruptedException {
         long since = Long.parseLong(request.query("watch"));
         long waitMillis = request.query("wait_ms") == null ? 0 : Long.parseLong(request.query("wait_ms"));
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
