--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -101,8 +101,12 @@
     }
 
     Entry addEntry(String zone) throws Exception {
+        return addEntry(zone, store.address());
+    }
+
+    Entry addEntry(String zone, String storeAddress) throws Exception {
         Entry entry =
-                new Entry("front-" + (entries.size() + 1), Entry.freeAddress(random), zone, store.address(), folder);
+                new Entry("front-" + (entries.size() + 1), Entry.freeAddress(random), zone, storeAddress, folder);
         entries.add(entry);
         return entry;
     }
--- a/review/harness/Http.java
+++ b/review/harness/Http.java
@@ -145,9 +145,13 @@
         private volatile boolean closed;
 
         Server(String host, Handler handler) throws IOException {
+            this(host, 0, handler);
+        }
+
+        Server(String host, int port, Handler handler) throws IOException {
             this.handler = handler;
             listener = new ServerSocket();
-            listener.bind(new InetSocketAddress(InetAddress.getByName(host), 0), 200);
+            listener.bind(new InetSocketAddress(InetAddress.getByName(host), port), 200);
             Case.daemon(this::accept);
         }
 
--- a/review/harness/Replica.java
+++ b/review/harness/Replica.java
@@ -13,6 +13,7 @@
     private static final int TOKENS_PER_EVENT = 4;
 
     private static final long LOAD_MILLIS = 6_000;
+    private static final long LOAD_FROM_DISK_MILLIS = 490;
 
     /** Answers a request in another way than the sound one; returns null where the sound answer is to follow. */
     interface Fault {
@@ -26,6 +27,7 @@
     volatile Fault fault = (request, socket, out) -> null;
     private final Store store;
     private volatile boolean holdsModel;
+    private volatile boolean onDisk;
     private final long born = System.currentTimeMillis();
     private final Http.Server server;
     private volatile boolean draining;
@@ -35,16 +37,31 @@
     private boolean busy;
 
     Replica(String id, String service, String version, boolean holdsModel, Store store) throws Exception {
+        this(id, service, version, holdsModel, holdsModel, 0, store);
+    }
+
+    private Replica(
+            String id, String service, String version, boolean holdsModel, boolean onDisk, int port, Store store)
+            throws Exception {
         this.id = id;
         this.service = service;
         this.version = version;
         this.holdsModel = holdsModel;
+        this.onDisk = onDisk;
         this.store = store;
-        this.server = new Http.Server("127.0.0.1", this::handle);
+        this.server = new Http.Server("127.0.0.1", port, this::handle);
         register("ready");
         Case.record("replica %s of version %s registered", id, version);
     }
 
+    /** Ends all connections and starts again under the same id and address, empty but for its disk. */
+    Replica startAgain(String newVersion, long downMillis) throws Exception {
+        server.close();
+        Case.record("replica %s ended", id);
+        Case.sleep(downMillis);
+        return new Replica(id, service, newVersion, false, onDisk, server.listener.getLocalPort(), store);
+    }
+
     private List<Object> models() {
         return holdsModel ? List.of(Case.map("name", "m0", "version", 1L, "adapters", List.of())) : List.of();
     }
@@ -53,6 +70,10 @@
         return holdsModel ? List.of("m0") : List.of();
     }
 
+    private List<Object> diskModels() {
+        return holdsModel || onDisk ? List.of("m0") : List.of();
+    }
+
     private void register(String state) {
         store.put(
                 "servers",
@@ -68,7 +89,7 @@
                         "sequence", ++sequence,
                         "born", born,
                         "models", models(),
-                        "at_hand", Case.map("in_memory", hasModel(), "on_disk", hasModel())));
+                        "at_hand", Case.map("in_memory", hasModel(), "on_disk", diskModels())));
     }
 
     /** Reports that it drains, goes on for a while, then exits and leaves the list. */
@@ -146,7 +167,7 @@
         return Json.write(Case.map(
                 "stage", "prefill_decode", "models", models(), "busy", busy, "sequence", orders, "queued", 0L,
                 "running", 0L, "kv_used", 0L, "kv_total", 232_000L, "handles", 0L, "born", born,
-                "at_hand", Case.map("in_memory", hasModel(), "on_disk", hasModel())));
+                "at_hand", Case.map("in_memory", hasModel(), "on_disk", diskModels())));
     }
 
     /** Accepts orders for the one model of the configuration. */
@@ -170,9 +191,10 @@
         orders++;
         busy = true;
         Case.daemon(() -> {
-            Case.sleep(isLoad ? LOAD_MILLIS : 0);
+            Case.sleep(!isLoad ? 0 : onDisk ? LOAD_FROM_DISK_MILLIS : LOAD_MILLIS);
             synchronized (this) {
                 holdsModel = isLoad;
+                onDisk |= isLoad;
                 busy = false;
                 register(draining ? "draining" : "ready");
             }
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -33,6 +33,29 @@
         return server.address();
     }
 
+    /** Opens another address of the store, whose callers can be turned away while others are served. */
+    Door openDoor() throws Exception {
+        return new Door();
+    }
+
+    final class Door {
+        volatile boolean turnsAway;
+        private final Http.Server entrance = new Http.Server("127.0.0.1", (request, socket, out) -> {
+            if (!turnsAway) {
+                return Store.this.handle(request, socket, out);
+            }
+            Thread.sleep(ANSWER_MILLIS);
+            Http.respond(out, 503, Map.of(), new byte[0]);
+            return true;
+        });
+
+        private Door() throws Exception {}
+
+        String address() {
+            return entrance.address();
+        }
+    }
+
     /** Writes the content of an object, as the operator and the replicas do. */
     synchronized long put(String kind, String name, Object spec) {
         Map<String, Object> old = kind(kind).get(name);
