--- a/review/harness/UpgradedInPlace.java
+++ b/review/harness/UpgradedInPlace.java
@@ -5,10 +5,11 @@
 /** Replicas start again in turn, under their ids and with newer software, while the store turns one entry away. */
 final class UpgradedInPlace extends Case {
 
-    private static final int STREAMS = 12;
+    private static final int STREAMS = 16;
     private static final int ALLOWED = 2;
     private static final long DOWN_MILLIS = 1_000;
     private static final long TURNED_AWAY_MILLIS = 9_000;
+    private static final long BETWEEN_STREAMS_MILLIS = 40;
     private static final long STREAM_TOKENS = 160;
     private static final long SHORT_STREAM_TOKENS = 20;
 
@@ -50,6 +51,7 @@
                     answers.add(answer);
                 }
             }));
+            sleep(BETWEEN_STREAMS_MILLIS);
         }
         sleepUntil(startSeconds + 6.7);
         second.startAgain("v2", DOWN_MILLIS);
