Stop the entries of review case 3 more often, and let the reports of its replicas have several ages

Tried: the next entry is stopped 1.3 s after the start of the one before, without waiting until that one is ready; the six replicas report as of 160 to 285 ms ago instead of 200 ms. The check is unchanged.

--- a/review/harness/AdapterLimit.java
+++ b/review/harness/AdapterLimit.java
@@ -11,6 +11,10 @@
     private static final int ADAPTERS = 120;
     private static final long CALL_GAP_MILLIS = Integer.getInteger("gap", 5);
     private static final double RUN_SECONDS = 100;
+
+    /** The pause of the site file between two steps of a roll. */
+    private static final long GAP_MILLIS = 1_300;
+
     private static final long TIMEOUT_MILLIS = 6_000;
 
     private final AtomicInteger answered = new AtomicInteger();
@@ -33,7 +37,7 @@
                 "services", List.of(map("name", "lm", "engine", engine)),
                 "limits", map("max_header_bytes", 16_384L, "max_body_bytes", 4_194_304L, "idle_timeout_ms", 15_000L)));
         for (int i = 1; i <= REPLICAS; i++) {
-            new AdapterReplica("i-7f3a91c" + i, store);
+            new AdapterReplica("i-7f3a91c" + i, 135 + 25 * i, store);
         }
         for (String zone : List.of("sul-br-a", "sul-br-b", "sul-br-c")) {
             addEntry(zone);
@@ -63,8 +67,7 @@
                 sleep(20);
             }
             entry.start();
-            entry.awaitReady(10_000);
-            sleep(1_300);
+            sleep(GAP_MILLIS);
         }
         ended.set(true);
         sleep(500);
--- a/review/harness/AdapterReplica.java
+++ b/review/harness/AdapterReplica.java
@@ -10,7 +10,10 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Stands in for a sound replica that holds one model and loads adapters of it. Its reports are some hundred ms old. */
+/**
+ * Stands in for a sound replica that holds one model and loads adapters of it. Its reports are some hundred ms old, each
+ * replica's by another time.
+ */
 final class AdapterReplica {
 
     private static final int MAX_ADAPTERS = 8;
@@ -20,7 +23,6 @@
     /** While more adapters are on their way, over all replicas, each takes longer in proportion. */
     private static final int TRANSITS_AT_FULL_SPEED = 32;
 
-    private static final long REPORT_AGE_MILLIS = 200;
     private static final long HEARTBEAT_MILLIS = 1_200;
     private static final long EVENT_MILLIS = 50;
 
@@ -30,6 +32,7 @@
     static final AtomicInteger EXCESS_ORDERS = new AtomicInteger();
 
     final String id;
+    private final long reportAgeMillis;
     private final Store store;
     private final long born = System.currentTimeMillis();
     private final Http.Server server;
@@ -43,8 +46,9 @@
 
     private record Snapshot(long nanos, long orders, List<Object> loaded, List<Object> coming) {}
 
-    AdapterReplica(String id, Store store) throws Exception {
+    AdapterReplica(String id, long reportAgeMillis, Store store) throws Exception {
         this.id = id;
+        this.reportAgeMillis = reportAgeMillis;
         this.store = store;
         this.server = new Http.Server("127.0.0.1", this::handle);
         takeSnapshot();
@@ -88,7 +92,7 @@
     }
 
     private synchronized String report() {
-        long asOf = System.nanoTime() - REPORT_AGE_MILLIS * 1_000_000;
+        long asOf = System.nanoTime() - reportAgeMillis * 1_000_000;
         Snapshot current = snapshots.peekFirst();
         for (Snapshot snapshot : snapshots) {
             if (snapshot.nanos <= asOf) {
