Go on watching the store after a cut watch and after a change that cannot be applied

Change: the connection of a waiting watch that is closed is a kind of its own; the same revision is watched again at once, and after a delay only if that is cut off, too. Removals are held back until 1.8 s after the store responded again, not after each removal, and watches follow each other without delay meanwhile. An exception costs its own change only, is logged with the key and counted; a step that fails otherwise leads to a new listing within 0.4 s. A name that is no id is ignored.

--- a/tarragonring-core/src/main/java/org/tarragonring/ids/Identifiers.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/ids/Identifiers.java
@@ -19,13 +19,18 @@
      * @throws IllegalArgumentException if the text is null or not a valid identifier
      */
     static String requireValid(String kind, String value) {
-        if (value == null
-                || value.length() > MAX_LENGTH
-                || !ALLOWED.matcher(value).matches()) {
+        if (!isValid(value)) {
             throw new IllegalArgumentException(
                     "%s \"%s\" is not 1 to %d letters, digits and . _ : @ - starting with a letter or digit"
                             .formatted(kind, value, MAX_LENGTH));
         }
         return value;
     }
+
+    /** Returns whether a text is a valid identifier; false for null. */
+    static boolean isValid(String value) {
+        return value != null
+                && value.length() <= MAX_LENGTH
+                && ALLOWED.matcher(value).matches();
+    }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/ids/UpstreamId.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/ids/UpstreamId.java
@@ -1,5 +1,7 @@
 package org.tarragonring.ids;
 
+import java.util.Optional;
+
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
 
@@ -18,6 +20,17 @@
         Identifiers.requireValid("upstream id", value);
     }
 
+    /**
+     * Parses an identifier that others have written.
+     *
+     * @param text the text, may be null
+     * @return the identifier, or empty if the text is no valid one
+     * @since 0.2.0
+     */
+    public static Optional<UpstreamId> parse(String text) {
+        return Identifiers.isValid(text) ? Optional.of(new UpstreamId(text)) : Optional.empty();
+    }
+
     @Override
     public int compareTo(UpstreamId other) {
         return value.compareTo(other.value);
--- a/tarragonring-core/src/main/java/org/tarragonring/objects/StoreException.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/StoreException.java
@@ -20,7 +20,19 @@
      * @param message the reason of the failure, which names the key
      */
     public StoreException(Kind kind, String message) {
-        super(message, null, false, false);
+        this(kind, message, null);
+    }
+
+    /**
+     * Creates an exception with a cause.
+     *
+     * @param kind the kind of failure, not null
+     * @param message the reason of the failure, which names the key
+     * @param cause what made the request fail, null if unknown
+     * @since 0.2.0
+     */
+    public StoreException(Kind kind, String message, Throwable cause) {
+        super(message, cause, false, false);
         this.kind = Objects.requireNonNull(kind, "kind");
     }
 
@@ -39,6 +51,8 @@
         CONFLICT,
         /** The store rejected the request or could not be reached; nothing was written. */
         UNAVAILABLE,
+        /** The connection of a watch that was waiting was closed; the same revision can be watched again. */
+        INTERRUPTED,
         /** The store no longer has the changes after the watched revision; the objects must be listed again. */
         HISTORY_GONE,
         /** No usable response was received; the write may have taken effect. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -173,7 +173,7 @@
                 watchTimeout,
                 replicaBatchDelay(settings.drainTime()),
                 object -> dependencies.replicaDecoder.apply(object).ifPresent(catalog::put),
-                key -> catalog.remove(new UpstreamId(key.substring(dependencies.replicaPrefix.length()))));
+                this::onReplicaRemoved);
         this.configDecoder = dependencies.configDecoder;
         registerGauges(metrics);
     }
@@ -318,6 +318,8 @@
                 () -> config.map(ServingConfig::version).orElse(0L));
         metrics.registerGauge("tarragonring.config.age.ms", configWatcher::ageMillis);
         metrics.registerGauge("tarragonring.replicas.age.ms", replicaWatcher::ageMillis);
+        metrics.registerGauge(
+                "tarragonring.store.events.failed", () -> configWatcher.failedEvents() + replicaWatcher.failedEvents());
         metrics.registerGauge("tarragonring.requests.suspected", quarantine::suspectCount);
         metrics.registerGauge("tarragonring.entries.alive", () -> mesh.alive().size());
         metrics.registerGauge("tarragonring.order.groups.held", leaseManager::heldGroupCount);
@@ -376,6 +378,11 @@
         });
     }
 
+    /** Removes a replica; the name of an object that another writer has left may be no valid id. */
+    private void onReplicaRemoved(String key) {
+        UpstreamId.parse(key.substring(key.indexOf('/') + 1)).ifPresent(catalog::remove);
+    }
+
     private List<GroupLease> createLeases(GatewaySettings settings) {
         List<GroupLease> leases = new ArrayList<>();
         for (int group = 0; group < OrderGroups.GROUP_COUNT; group++) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import io.smallrye.mutiny.Uni;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.objects.RevisionedStore;
 import org.tarragonring.objects.StoreException;
@@ -27,7 +28,10 @@
     /** The shortest time from a request that fails to the next one, so that a failing store is not overloaded. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
-    /** The delay of deletions after a store failure; expired objects are written again within two seconds. */
+    /**
+     * How long deletions are held back after the store has responded again; objects that expired while it was down are
+     * written again within two seconds.
+     */
     private static final Duration DELETION_DELAY = Duration.ofMillis(1_800);
 
     private final String prefix;
@@ -43,8 +47,11 @@
     private boolean stopped;
     private boolean listed;
     private boolean reachable;
-    private long lastFailureMillis;
+    private boolean failing;
+    private long recoveredMillis;
+    private long interruptedMillis;
     private long lastResponseMillis;
+    private long failedEvents;
 
     /**
      * Creates a watcher that is not started.
@@ -76,7 +83,8 @@
         this.timers = Objects.requireNonNull(timers, "timers");
         this.onChanged = Objects.requireNonNull(onChanged, "onChanged");
         this.onDeleted = Objects.requireNonNull(onDeleted, "onDeleted");
-        this.lastFailureMillis = clock.millis() - DELETION_DELAY.toMillis();
+        this.recoveredMillis = clock.millis() - DELETION_DELAY.toMillis();
+        this.interruptedMillis = clock.millis() - RETRY_DELAY.toMillis();
         this.lastResponseMillis = clock.millis();
     }
 
@@ -119,15 +127,37 @@
         return clock.millis() - lastResponseMillis;
     }
 
+    /**
+     * Returns how many changes and deletions could not be applied because the receiver failed.
+     *
+     * @return the number of events since the creation of this watcher
+     */
+    public long failedEvents() {
+        return failedEvents;
+    }
+
     private void list() {
         if (stopped) {
             return;
         }
         long sentMillis = clock.millis();
-        store.snapshot(prefix).subscribe().with(this::onSnapshot, failure -> {
-            onRequestFailed(failure);
-            timers.schedule(retryDelay(sentMillis), this::list);
-        });
+        Uni.createFrom()
+                .deferred(() -> store.snapshot(prefix))
+                .subscribe()
+                .with(snapshot -> runStep(() -> onSnapshot(snapshot)), failure -> {
+                    onRequestFailed(failure);
+                    timers.schedule(retryDelay(sentMillis), this::list);
+                });
+    }
+
+    /** Runs a step after which the next request is sent. If the step fails unexpectedly, the objects are listed again. */
+    private void runStep(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            LogEvent.UNEXPECTED_FAILURE.log("the watch of " + prefix, e);
+            timers.schedule(RETRY_DELAY, this::list);
+        }
     }
 
     private void onSnapshot(RevisionedStore.Snapshot snapshot) {
@@ -148,16 +178,27 @@
             return;
         }
         long sentMillis = clock.millis();
-        store.watch(prefix, revision, watchTimeout).subscribe().with(this::onBatch, failure -> {
-            if (failure instanceof StoreException e && e.kind() == StoreException.Kind.HISTORY_GONE) {
-                LogEvent.DEPENDENCY_STATE.log(
-                        "store", true, "history of " + prefix + " is no longer available, listing again");
-                list();
-                return;
-            }
+        Uni.createFrom()
+                .deferred(() -> store.watch(prefix, revision, watchTimeout))
+                .subscribe()
+                .with(batch -> runStep(() -> onBatch(batch)), failure -> onWatchFailed(failure, revision, sentMillis));
+    }
+
+    private void onWatchFailed(Throwable failure, long revision, long sentMillis) {
+        StoreException.Kind kind = failure instanceof StoreException e ? e.kind() : StoreException.Kind.UNAVAILABLE;
+        boolean isInterruptedAgain = clock.millis() - interruptedMillis < RETRY_DELAY.toMillis();
+        if (kind == StoreException.Kind.HISTORY_GONE) {
+            LogEvent.DEPENDENCY_STATE.log(
+                    "store", true, "history of " + prefix + " is no longer available, listing again");
+            list();
+        } else if (kind == StoreException.Kind.INTERRUPTED && !isInterruptedAgain) {
+            interruptedMillis = clock.millis();
+            LogEvent.DEPENDENCY_STATE.log("store", true, "the watch of " + prefix + " was interrupted");
+            watch(revision);
+        } else {
             onRequestFailed(failure);
             timers.schedule(retryDelay(sentMillis), () -> watch(revision));
-        });
+        }
     }
 
     private void onBatch(WatchBatch batch) {
@@ -166,7 +207,8 @@
         batch.changed().forEach(this::reportChange);
         lastResponseMillis = clock.millis();
         boolean unchanged = batch.changed().isEmpty() && batch.deletedKeys().isEmpty();
-        if (unchanged || batchDelay.isZero()) {
+        boolean awaitsReturns = !pendingDeletions.isEmpty();
+        if (unchanged || awaitsReturns || batchDelay.isZero()) {
             watch(batch.revision());
         } else {
             timers.schedule(batchDelay, () -> watch(batch.revision()));
@@ -182,18 +224,18 @@
     private void reportChange(StoredObject object) {
         knownKeys.add(object.key());
         pendingDeletions.remove(object.key());
-        onChanged.accept(object);
+        apply(object.key(), () -> onChanged.accept(object));
     }
 
-    /** Reports a deletion, after a delay if the store failed recently, as objects that expired meanwhile may return. */
+    /** Reports a deletion, later if the store was down until recently, as objects that expired meanwhile may return. */
     private void scheduleDeletion(String key) {
-        long sinceFailureMillis = clock.millis() - lastFailureMillis;
-        if (sinceFailureMillis >= DELETION_DELAY.toMillis()) {
+        Duration remaining = DELETION_DELAY.minusMillis(clock.millis() - recoveredMillis);
+        if (remaining.isZero() || remaining.isNegative()) {
             reportDeletion(key);
             return;
         }
         pendingDeletions.add(key);
-        timers.schedule(DELETION_DELAY, () -> {
+        timers.schedule(remaining, () -> {
             if (pendingDeletions.remove(key)) {
                 reportDeletion(key);
             }
@@ -202,10 +244,24 @@
 
     private void reportDeletion(String key) {
         knownKeys.remove(key);
-        onDeleted.accept(key);
+        apply(key, () -> onDeleted.accept(key));
+    }
+
+    /** Passes on one event. A failure concerns this object only: the others are passed on, and the watch goes on. */
+    private void apply(String key, Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            failedEvents++;
+            LogEvent.UNEXPECTED_FAILURE.log("the handling of a change of " + key, e);
+        }
     }
 
     private void onRequestSucceeded() {
+        if (failing) {
+            failing = false;
+            recoveredMillis = clock.millis();
+        }
         if (!reachable) {
             LogEvent.DEPENDENCY_STATE.log("store", true, "watching " + prefix);
         }
@@ -217,6 +273,6 @@
             LogEvent.DEPENDENCY_STATE.log("store", false, prefix + ": " + failure.getMessage());
         }
         reachable = false;
-        lastFailureMillis = clock.millis();
+        failing = true;
     }
 }
