--- a/tarragonring-core/src/main/java/org/tarragonring/peer/UdpTransport.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/UdpTransport.java
@@ -51,6 +51,8 @@
                 receiver.accept(codec.decode(bytes));
             } catch (IllegalArgumentException e) {
                 LogEvent.DATAGRAM_REJECTED.log(packet.sender(), e.getMessage());
+            } catch (RuntimeException e) {
+                LogEvent.UNEXPECTED_FAILURE.log("the handling of a datagram from " + packet.sender(), e);
             }
         });
         return socket.listen(address.port(), address.host())
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
@@ -1,5 +1,6 @@
 package org.tarragonring.gateway.orders;
 
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Objects;
@@ -260,8 +261,20 @@
         return failure instanceof StoreException e && e.kind() == StoreException.Kind.AMBIGUOUS;
     }
 
+    /**
+     * Decodes a record. One that cannot be read, as another writer has replaced it, counts as expired. Each fencing token
+     * was written at a revision of its own, so that the version of the object is at least as high as all of them.
+     */
     private static VersionedRecord decode(StoredObject object) {
-        return new VersionedRecord(object.version(), Json.read(object.value(), LeaseRecord.class));
+        try {
+            LeaseRecord record = Json.read(object.value(), LeaseRecord.class);
+            if (record != null && record.holder() != null) {
+                return new VersionedRecord(object.version(), record);
+            }
+        } catch (UncheckedIOException e) {
+            LogEvent.STORED_OBJECT_INVALID.log(object.key(), "", "cannot be decoded: " + e.getMessage());
+        }
+        return new VersionedRecord(object.version(), new LeaseRecord("unknown", object.version(), 0, false));
     }
 
     /**
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
@@ -1,5 +1,6 @@
 package org.tarragonring.gateway.orders;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -62,6 +63,21 @@
         assertFalse(first.isHeld());
     }
 
+    // Guards against a group that nobody can take over, and against a fencing token lower than one already used.
+    @Test
+    void recordThatCannotBeReadIsTakenOverWithAHigherFence() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        long version = first.read().await().indefinitely().orElseThrow().version();
+        store.write("tarragonring-order-leases/group-3", version, "[[1]]".getBytes(StandardCharsets.UTF_8))
+                .await()
+                .indefinitely();
+
+        second.acquire(second.read().await().indefinitely()).await().indefinitely();
+
+        assertTrue(second.isHeld());
+        assertTrue(second.fence() > first.fence());
+    }
+
     @Test
     void takeoverFailsIfHolderRenewedAfterTheRead() {
         first.acquire(Optional.empty()).await().indefinitely();
