--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -131,6 +131,8 @@
             423,
             Logger.Level.WARN,
             "load of model %s on replica %s did not start within %s ms, planning loads on other replicas"),
+    /** The software versions of the replicas were recorded in the store. */
+    SERVING_VERSIONS_RECORDED(424, Logger.Level.INFO, "recorded the software versions that may have begun streams: %s"),
     /** A serving configuration was activated. */
     SERVING_CONFIG_ACTIVATED(
             610,
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
@@ -20,6 +20,7 @@
 import org.tarragonring.peer.wire.WireFailedRun;
 import org.tarragonring.peer.wire.WireFailureReport;
 import org.tarragonring.peer.wire.WireLoadRequest;
+import org.tarragonring.peer.wire.WireReplicaLeaving;
 import org.tarragonring.peer.wire.WireReplicaNotice;
 import org.tarragonring.peer.wire.WireResident;
 import org.tarragonring.peer.wire.WireStreamReport;
@@ -28,7 +29,7 @@
 
 /**
  * Converts the messages of the gateway: demand reports, load requests, replica notices, authority notices, failure
- * reports and stream reports.
+ * reports, stream reports and notices of replicas that are about to shut down.
  */
 final class GatewayMessageCodec {
 
@@ -55,13 +56,19 @@
             List<WireResident> residents = notice.residents().entrySet().stream()
                     .map(e -> new WireResident(e.getKey().value(), List.copyOf(e.getValue())))
                     .toList();
-            return WireBody.replicaNotice(new WireReplicaNotice(
+            WireReplicaNotice wire = new WireReplicaNotice(
                     notice.replica().value(),
                     notice.bornMillis(),
                     notice.sequence(),
                     residents,
                     notice.loading().map(ModelName::value).orElse(""),
-                    notice.loadingMillis()));
+                    notice.loadingMillis());
+            notice.software().ifPresent(software -> wire.setSoftwareVersion(software.value()));
+            return WireBody.replicaNotice(wire);
+        }
+        if (message instanceof PeerMessage.ReplicaLeaving leaving) {
+            return WireBody.replicaLeaving(
+                    new WireReplicaLeaving(leaving.replica().value(), leaving.bornMillis()));
         }
         if (message instanceof PeerMessage.AuthorityNotice notice) {
             WireAuthorityNotice wire = new WireAuthorityNotice(notice.groups());
@@ -96,6 +103,10 @@
                         request.getEvict().stream().map(ModelName::new).toList());
             }
             case REPLICA_NOTICE -> fromWire(body.getReplicaNotice());
+            case REPLICA_LEAVING ->
+                new PeerMessage.ReplicaLeaving(
+                        new UpstreamId(body.getReplicaLeaving().getReplica()),
+                        body.getReplicaLeaving().getBornMillis());
             case AUTHORITY_NOTICE ->
                 new PeerMessage.AuthorityNotice(
                         body.getAuthorityNotice().getGroups(),
@@ -193,6 +204,7 @@
         return new PeerMessage.ReplicaNotice(
                 new UpstreamId(wire.getReplica()),
                 wire.getBornMillis(),
+                Optional.ofNullable(wire.getSoftwareVersion()).map(SoftwareVersion::new),
                 wire.getSequence(),
                 residents,
                 wire.getLoading().isEmpty() ? Optional.empty() : Optional.of(new ModelName(wire.getLoading())),
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -136,6 +136,7 @@
      *
      * @param replica the replica, not null
      * @param bornMillis the start time of the replica's process in Unix milliseconds
+     * @param software the version of the software that the process runs, empty if the sender does not know it; not null
      * @param sequence the number of orders that the replica has accepted
      * @param residents the loaded models, each with its loaded adapters, not null
      * @param loading the model that is being loaded, empty if there is none; not null
@@ -144,6 +145,7 @@
     record ReplicaNotice(
             UpstreamId replica,
             long bornMillis,
+            Optional<SoftwareVersion> software,
             long sequence,
             Map<ModelName, Set<String>> residents,
             Optional<ModelName> loading,
@@ -156,6 +158,14 @@
         }
     }
 
+    /**
+     * Tells that a replica has announced, in a response to the sender, that it is about to shut down.
+     *
+     * @param replica the replica, not null
+     * @param bornMillis the start time of the replica's process in Unix milliseconds
+     */
+    record ReplicaLeaving(UpstreamId replica, long bornMillis) implements PeerMessage {}
+
     /**
      * Announces the order groups whose leases the sender holds.
      *
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -104,6 +104,13 @@
   4: required list<WireResident> residents
   5: required string loading
   6: required i64 loadingMillis
+  7: optional string softwareVersion
+}
+
+/** Tells that a process of a replica has announced in a response that it is about to shut down. */
+struct WireReplicaLeaving {
+  1: required string replica
+  2: required i64 bornMillis
 }
 
 /** Names the order groups that the sender holds, and whether it is without the store. */
@@ -119,6 +126,7 @@
   3: required i64 ranMillis
   4: required i64 agoMillis
   5: optional i32 promptPart
+  6: optional i64 failureId
 }
 
 /** Names runs on failed replicas, and what a replica has answered, with the time since then in the same order. */
@@ -153,6 +161,7 @@
   11: WireAuthorityNotice authorityNotice
   12: WireFailureReport failureReport
   13: WireStreamReport streamReport
+  14: WireReplicaLeaving replicaLeaving
 }
 
 /** One datagram between entries. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import org.tarragonring.gateway.planning.DemandAggregator;
 import org.tarragonring.gateway.planning.PlanningService;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
@@ -41,6 +42,7 @@
 import org.tarragonring.policy.budget.RetryBudgets;
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.replica.ListedReplica;
+import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.service.ShutdownSequence;
 import org.tarragonring.time.Delays;
@@ -72,6 +74,9 @@
     /** Keeps registrations younger than the states of replicas assume. */
     private static final Duration MAX_REPLICA_BATCH_DELAY = Duration.ofMillis(1_700);
 
+    /** How much later than its removal a replica may still be listed at another entry, and begin streams there. */
+    private static final Duration LIST_LAG = Duration.ofSeconds(3);
+
     private static final Duration STATE_CHECK_INTERVAL = Duration.ofMillis(50);
 
     /**
@@ -92,7 +97,9 @@
     private final LoadRequestRouter loadRouter;
     private final PlanningService planning;
     private final RequestQuarantine quarantine;
+    private final ReplicaClient replicaClient;
     private final StreamVersions streamVersions;
+    private final ServingVersions servingVersions;
     private final CallServer server;
     private final Function<StoredObject, Optional<ServingConfig>> configDecoder;
     private Optional<ServingConfig> config = Optional.empty();
@@ -126,6 +133,7 @@
         Ejections ejections = new Ejections(clocks.monotonic());
         this.mesh = new Mesh(settings, vertx, store, clocks.monotonic(), clocks.wall(), timers, random);
         this.catalog = new ReplicaCatalog(clocks.monotonic(), ejections);
+        this.replicaClient = new MeteredReplicaClient(dependencies.replicaClient, metrics, clocks.monotonic());
         this.leaseManager = new OrderLeaseManager(
                 settings.id(),
                 mesh,
@@ -138,7 +146,7 @@
                 settings.id(),
                 leaseManager,
                 catalog,
-                new MeteredReplicaClient(dependencies.replicaClient, metrics, clocks.monotonic()),
+                replicaClient,
                 mesh,
                 this::config,
                 clocks.monotonic(),
@@ -158,6 +166,7 @@
                 settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
         this.streamVersions =
                 new StreamVersions(settings.id(), settings.failureDomain(), mesh, clocks.monotonic(), timers);
+        this.servingVersions = createServingVersions(dependencies);
         this.server = new CallServer(
                 callContext(vertx, dependencies, ejections, random, metrics),
                 this::config,
@@ -174,6 +183,7 @@
                 replicaBatchDelay(settings.drainTime()),
                 object -> dependencies.replicaDecoder.apply(object).ifPresent(catalog::put),
                 this::onReplicaRemoved);
+        catalog.setListCurrent(replicaWatcher::isCurrent);
         this.configDecoder = dependencies.configDecoder;
         registerGauges(metrics);
     }
@@ -193,6 +203,7 @@
         replicaWatcher.start();
         quarantine.start();
         streamVersions.start();
+        servingVersions.start();
         started = mesh.start()
                 .thenCompose(peer -> shuttingDown ? CompletableFuture.completedFuture(null) : server.start())
                 .thenRun(() -> onListening(startMillis));
@@ -233,6 +244,7 @@
                 .then("membership", mesh::leave)
                 .then("planning", planning::stop)
                 .then("quarantine", quarantine::stop)
+                .then("software versions", servingVersions::stop)
                 .then("order leases", leaseManager::stop)
                 .thenAwait("start", () -> started.handle((done, failure) -> null))
                 .thenAwait("calls in flight", this::drain)
@@ -301,17 +313,44 @@
                 settings.failureDomain(),
                 dependencies.callCodec,
                 catalog,
-                new CurrentReplicas(store, dependencies.replicaPrefix, dependencies.replicaDecoder),
                 ejections,
                 mesh,
                 streamVersions,
+                servingVersions,
+                this::runsKnownProcess,
                 clocks.monotonic(),
-                clocks.wall(),
                 timers,
                 random::nextDouble,
                 metrics);
     }
 
+    private ServingVersions createServingVersions(Dependencies dependencies) {
+        return new ServingVersions(
+                store,
+                catalog,
+                new CurrentReplicas(store, dependencies.replicaPrefix, dependencies.replicaDecoder),
+                () -> mesh.entryFor(ServingVersions.DUTY).equals(settings.id()),
+                () -> config.map(ServingConfig::longestStreamTimeout)
+                        .orElse(Duration.ZERO)
+                        .plus(LIST_LAG),
+                clocks.monotonic(),
+                timers);
+    }
+
+    /** Asks a replica whether it still runs the process that this entry knows. */
+    private CompletableFuture<Boolean> runsKnownProcess(ReplicaState replica) {
+        return replicaClient
+                .report(replica.listed())
+                .map(report -> report.holdings().processStartMillis()
+                        == replica.process().startMillis())
+                .onFailure()
+                .recoverWithItem(failure -> {
+                    LogEvent.DEPENDENCY_STATE.log("replica " + replica.id(), false, failure.getMessage());
+                    return false;
+                })
+                .subscribeAsCompletionStage();
+    }
+
     private void registerGauges(GatewayMetrics metrics) {
         metrics.registerGauge(
                 "tarragonring.config.version",
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -1,16 +1,15 @@
 package org.tarragonring.gateway.catalog;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 
 import org.tarragonring.gateway.call.WeightKey;
@@ -21,6 +20,7 @@
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.replica.ListedReplica;
+import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
@@ -44,7 +44,7 @@
     /** The times at which a replica of each version was last known to be listed. */
     private final Map<ServiceName, Map<SoftwareVersion, Long>> versionsSeenMillis = new HashMap<>();
 
-    private Optional<Long> firstListedMillis = Optional.empty();
+    private BooleanSupplier listCurrent = () -> true;
     private Predicate<UpstreamId> leaseHeldByThisEntry = id -> false;
 
     /**
@@ -87,6 +87,47 @@
         leaseHeldByThisEntry = Objects.requireNonNull(predicate, "predicate");
     }
 
+    /**
+     * Sets the check whether this entry knows all changes of the replica list but the newest ones.
+     *
+     * @param supplier returns false while the store does not respond to this entry, not null
+     */
+    public void setListCurrent(BooleanSupplier supplier) {
+        listCurrent = Objects.requireNonNull(supplier, "supplier");
+    }
+
+    /**
+     * Checks whether this entry knows all changes of the replica list but the newest ones.
+     *
+     * @return false while the store does not respond to this entry
+     */
+    public boolean isListCurrent() {
+        return listCurrent.getAsBoolean();
+    }
+
+    /**
+     * Returns the process that a replica runs now, as far as it is known.
+     *
+     * @param replica the replica, not null
+     * @return the process; its software is unknown while the replica list may be out of date, as the replica may have
+     *     started again with other software
+     */
+    public ReplicaProcess runningProcess(ReplicaState replica) {
+        return isListCurrent() ? replica.process() : replica.process().withoutSoftware();
+    }
+
+    /**
+     * Returns when a replica of a version was last listed.
+     *
+     * @param service the service, not null
+     * @param version the version of the software, not null
+     * @return the time on the monotonic clock in milliseconds, empty if this entry has never seen such a replica
+     */
+    public Optional<Long> lastListedMillis(ServiceName service, SoftwareVersion version) {
+        return Optional.ofNullable(
+                versionsSeenMillis.getOrDefault(service, Map.of()).get(version));
+    }
+
     /**
      * Adds a replica, or updates a known one, from its registration in the replica list.
      *
@@ -95,6 +136,9 @@
     public void put(ListedReplica listed) {
         onVersionSeen(listed);
         ReplicaState known = replicas.get(listed.id());
+        if (known != null) {
+            onVersionSeen(known.listed());
+        }
         boolean changed = true;
         if (known == null) {
             ReplicaState added = new ReplicaState(listed, clock);
@@ -158,7 +202,7 @@
                     replica,
                     "lease holder",
                     () -> replica.onOrderState(
-                            notice.bornMillis(),
+                            new ReplicaProcess(notice.replica(), notice.bornMillis(), notice.software()),
                             notice.sequence(),
                             notice.residents(),
                             notice.loading(),
@@ -246,41 +290,8 @@
                 .toList();
     }
 
-    /**
-     * Returns the version of the software of all replicas of a service, if it has been the same for some time.
-     *
-     * @param service the service, not null
-     * @param wallMillis the time of day, in Unix milliseconds
-     * @param forAtLeast the time, not null
-     * @return the version; empty if replicas of another version may have served in that time
-     */
-    public Optional<SoftwareVersion> onlyVersion(ServiceName service, long wallMillis, Duration forAtLeast) {
-        List<ListedReplica> listed = replicas.values().stream()
-                .map(ReplicaState::listed)
-                .filter(replica -> replica.service().equals(service))
-                .toList();
-        Set<SoftwareVersion> versions = new HashSet<>();
-        listed.forEach(replica -> versions.add(replica.software()));
-        if (versions.size() != 1) {
-            return Optional.empty();
-        }
-        long sinceMillis = clock.millis() - forAtLeast.toMillis();
-        Map<SoftwareVersion, Long> seen = versionsSeenMillis.getOrDefault(service, Map.of());
-        boolean isWatchedLongEnough = firstListedMillis.isPresent() && firstListedMillis.get() <= sinceMillis;
-        boolean isOnlyOneSeen = seen.entrySet().stream()
-                .noneMatch(version -> !versions.contains(version.getKey()) && version.getValue() > sinceMillis);
-        boolean areAllOld = listed.stream()
-                .allMatch(replica -> replica.holdings().processStartMillis() <= wallMillis - forAtLeast.toMillis());
-        return isOnlyOneSeen && (isWatchedLongEnough || areAllOld)
-                ? Optional.of(versions.iterator().next())
-                : Optional.empty();
-    }
-
     /** Records that a replica of a version is or was listed until now. */
     private void onVersionSeen(ListedReplica listed) {
-        if (firstListedMillis.isEmpty()) {
-            firstListedMillis = Optional.of(clock.millis());
-        }
         versionsSeenMillis
                 .computeIfAbsent(listed.service(), service -> new HashMap<>())
                 .put(listed.software(), clock.millis());
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -34,6 +34,9 @@
      */
     private static final Duration DELETION_DELAY = Duration.ofMillis(1_800);
 
+    /** The time in which the store responds to a watch after its end, over a network that loses packets. */
+    private static final Duration MAX_RESPONSE_TIME = Duration.ofMillis(500);
+
     private final String prefix;
     private final Duration watchTimeout;
     private final Duration batchDelay;
@@ -116,6 +119,18 @@
         return reachable;
     }
 
+    /**
+     * Checks if all changes but the newest ones have been reported.
+     *
+     * @return false if the last request failed, or if the last response is older than the store and this watcher make it
+     *     while they work, as after a suspension of the process
+     */
+    public boolean isCurrent() {
+        return reachable
+                && ageMillis()
+                        <= watchTimeout.plus(batchDelay).plus(MAX_RESPONSE_TIME).toMillis();
+    }
+
     /**
      * Returns how old the reported objects may be. While the objects of a response are reported, this is still the time
      * since the response before.
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -12,6 +12,7 @@
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.config.RouteKind;
 import org.tarragonring.policy.quarantine.ReplicaRuns;
+import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
@@ -42,15 +43,31 @@
     private final Context context;
     private final Exchange exchange;
     private final ReplicaState replica;
+    private final ReplicaProcess process;
     private final HttpClientRequest request;
     private ReplicaRuns.Run run;
     private boolean ended;
     private boolean connectionFailed;
 
-    Attempt(Context context, Exchange exchange, ReplicaState replica, HttpClientRequest request) {
+    /**
+     * Creates an attempt that is not started.
+     *
+     * @param context the collaborators that all attempts share, not null
+     * @param exchange the call, not null
+     * @param replica the replica, not null
+     * @param process the process of the replica at the other end of the connection, as far as it is known; not null
+     * @param request the request on an established connection, not null
+     */
+    Attempt(
+            Context context,
+            Exchange exchange,
+            ReplicaState replica,
+            ReplicaProcess process,
+            HttpClientRequest request) {
         this.context = context;
         this.exchange = exchange;
         this.replica = replica;
+        this.process = process;
         this.request = request;
     }
 
@@ -245,9 +262,9 @@
         }
 
         private void startForwarding() {
+            context.listener.onFirstEvent(exchange, process);
             exchange.responseStarted = true;
             exchange.bodyStarted = true;
-            context.listener.onFirstEvent(exchange);
             callerResponse = startResponse(response);
             String length = response.getHeader(HttpHeaders.CONTENT_LENGTH);
             if (length == null) {
@@ -306,8 +323,8 @@
             }
             HttpServerResponse callerResponse = exchange.request.response();
             if (!exchange.responseStarted) {
+                context.listener.onFirstEvent(exchange, process);
                 exchange.responseStarted = true;
-                context.listener.onFirstEvent(exchange);
                 startResponse(response).setChunked(true);
             }
             callerResponse.write(events);
@@ -342,7 +359,7 @@
         void onCompleted(Exchange exchange, int status, String reason);
 
         /** Handles the first event of a stream, just before it is forwarded to the caller. */
-        void onFirstEvent(Exchange exchange);
+        void onFirstEvent(Exchange exchange, ReplicaProcess process);
     }
 
     /** The collaborators that all attempts share. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -1,7 +1,6 @@
 package org.tarragonring.gateway.forward;
 
 import java.time.Duration;
-import java.time.InstantSource;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -9,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
@@ -20,12 +20,12 @@
 import io.vertx.core.http.PoolOptions;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.CallHead;
-import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
@@ -36,6 +36,7 @@
 import org.tarragonring.policy.config.Route;
 import org.tarragonring.policy.config.ServiceSpec;
 import org.tarragonring.policy.config.ServingConfig;
+import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
@@ -127,7 +128,7 @@
                 callerConnections,
                 localResponses,
                 new StreamResumption(
-                        context.streamVersions, context.catalog, context.currentReplicas, context.wallClock),
+                        context.streamVersions, context.servingVersions, context.catalog, context.processCheck),
                 context.metrics);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
@@ -329,12 +330,12 @@
      * @param failureDomain this entry's failure domain, not null
      * @param codec reads and writes the headers of calls, not null
      * @param catalog the known replicas, not null
-     * @param currentReplicas reads the registered replicas from the store, not null
      * @param ejections the failing replicas that get no calls, not null
      * @param mesh the connection to the other entries, not null
      * @param streamVersions knows which software version began a stream, not null
+     * @param servingVersions knows which software versions may have begun streams, not null
+     * @param processCheck asks a replica whether it still runs the known process; never fails, not null
      * @param clock the monotonic clock, not null
-     * @param wallClock the clock of the replicas' start times, not null
      * @param timers schedules timeouts and periodic reports, not null
      * @param random returns random numbers from 0 to 1, not null
      * @param metrics records metrics of calls, not null
@@ -345,12 +346,12 @@
             String failureDomain,
             CallCodec codec,
             ReplicaCatalog catalog,
-            CurrentReplicas currentReplicas,
             Ejections ejections,
             Mesh mesh,
             StreamVersions streamVersions,
+            ServingVersions servingVersions,
+            Function<ReplicaState, CompletableFuture<Boolean>> processCheck,
             MonotonicClock clock,
-            InstantSource wallClock,
             Timers timers,
             DoubleSupplier random,
             GatewayMetrics metrics) {}
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -16,6 +16,7 @@
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.config.Route;
+import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Suspect;
 
@@ -56,9 +57,12 @@
     /** Whether an attempt has reached a replica, so that the next attempt counts against the retry budget. */
     boolean reachedReplica;
 
-    /** The version of the software that began the stream, which no other version can continue; empty before. */
+    /** The version of the software that began the stream, which no other version can continue; empty if not known. */
     Optional<SoftwareVersion> software = Optional.empty();
 
+    /** The process that sent the first event of the response; empty before. */
+    private Optional<ReplicaProcess> beginner = Optional.empty();
+
     boolean loadCheckScheduled;
     /** Whether a part of the response was already forwarded to the caller. */
     boolean responseStarted;
@@ -97,9 +101,23 @@
         return fingerprint;
     }
 
-    /** Returns whether a replica's software can continue the stream, if it has begun. */
+    /** Records the process that sends the first event of the response. */
+    void begunBy(ReplicaProcess process) {
+        beginner = Optional.of(process);
+        software = software.or(process::software);
+    }
+
+    /** Returns whether the caller has got a part of the stream, in this call or in an earlier one. */
+    boolean hasBegun() {
+        return beginner.isPresent() || software.isPresent();
+    }
+
+    /** Returns whether a replica can continue the stream, if it has begun: at its software, or in the same process. */
     boolean isContinuedBy(ReplicaState candidate) {
-        return software.isEmpty() || software.get().equals(candidate.listed().software());
+        boolean isSameProcess = beginner.map(candidate.process()::isSameAs).orElse(false);
+        boolean isSameSoftware =
+                software.isPresent() && software.equals(candidate.process().software());
+        return !hasBegun() || isSameProcess || isSameSoftware;
     }
 
     /** Returns the parts of the prompt that other requests may have, too. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -21,6 +21,7 @@
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.budget.RetryBudgets;
 import org.tarragonring.policy.quarantine.ReplicaRuns;
+import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
@@ -333,7 +334,12 @@
             return;
         }
         failureMonitor.onUnreachable(replica.id(), failure);
-        recordFailedAttempt(exchange, Verdict.NOT_RUN, "no connection: " + failure.getMessage());
+        onNotSent(exchange, replica, "no connection: " + failure.getMessage());
+    }
+
+    /** Looks for another replica, as nothing of the call was sent to this one. */
+    private void onNotSent(Exchange exchange, ReplicaState replica, String reason) {
+        recordFailedAttempt(exchange, Verdict.NOT_RUN, reason);
         exchange.failedReplicas.add(replica.id());
         exchange.rejections++;
         if (exchange.rejections > MAX_REJECTIONS) {
@@ -345,7 +351,7 @@
 
     private void onConnected(Exchange exchange, ReplicaState replica, int attemptNumber, HttpClientRequest request) {
         boolean isSuperseded = exchange.finished || exchange.attemptNumber != attemptNumber;
-        if (isSuperseded || !catalog.isUsable(replica)) {
+        if (isSuperseded || !catalog.isUsable(replica) || !exchange.isContinuedBy(replica)) {
             request.connection().close();
             if (!isSuperseded) {
                 dispatch(exchange);
@@ -356,13 +362,36 @@
             request.connection().close();
             return;
         }
+        if (resumption.mustCheckProcess(exchange)) {
+            resumption
+                    .checkProcess(replica)
+                    .thenAccept(isSame -> onProcessChecked(exchange, replica, attemptNumber, request, isSame));
+        } else {
+            start(exchange, replica, catalog.runningProcess(replica), request);
+        }
+    }
+
+    private void onProcessChecked(
+            Exchange exchange, ReplicaState replica, int attemptNumber, HttpClientRequest request, boolean isSame) {
+        boolean isSuperseded = exchange.finished || exchange.attemptNumber != attemptNumber;
+        if (!isSuperseded && isSame && exchange.isContinuedBy(replica)) {
+            start(exchange, replica, replica.process(), request);
+            return;
+        }
+        request.connection().close();
+        if (!isSuperseded) {
+            onNotSent(exchange, replica, "the replica did not confirm that it runs the known process");
+        }
+    }
+
+    private void start(Exchange exchange, ReplicaState replica, ReplicaProcess process, HttpClientRequest request) {
         if (exchange.reachedReplica && !budgets.tryRetry(exchange.service)) {
             request.connection().close();
             refuse(exchange, "the retry budget is exhausted");
             return;
         }
         exchange.reachedReplica = true;
-        new Attempt(context, exchange, replica, request).start();
+        new Attempt(context, exchange, replica, process, request).start();
     }
 
     /** Ends a call whose request is quarantined and may not run now, and returns whether it has ended. */
@@ -441,8 +470,8 @@
     }
 
     @Override
-    public void onFirstEvent(Exchange exchange) {
-        resumption.onFirstEvent(exchange);
+    public void onFirstEvent(Exchange exchange, ReplicaProcess process) {
+        resumption.onFirstEvent(exchange, process);
         metrics.recordFirstEvent(clock.millis() - exchange.arrivalMillis);
         scheduleTimeout(exchange, exchange.deadlineMillis);
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
@@ -1,18 +1,19 @@
 package org.tarragonring.gateway.forward;
 
-import java.time.Duration;
-import java.time.InstantSource;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 
 import org.tarragonring.gateway.call.CallHead;
-import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.ids.CallId;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.policy.config.RouteKind;
+import org.tarragonring.policy.replica.ReplicaProcess;
+import org.tarragonring.policy.replica.ReplicaState;
 
 /**
  * Keeps streams at the version of the replicas' software that began them, in one response and over several calls.
@@ -21,20 +22,28 @@
  */
 final class StreamResumption {
 
-    /** Added to the time for which a stream may last, as the times of day of entries and replicas differ. */
-    private static final Duration CLOCK_MARGIN = Duration.ofSeconds(3);
-
     private final StreamVersions versions;
+    private final ServingVersions servingVersions;
     private final ReplicaCatalog catalog;
-    private final CurrentReplicas currentReplicas;
-    private final InstantSource wallClock;
+    private final Function<ReplicaState, CompletableFuture<Boolean>> processCheck;
 
+    /**
+     * Creates an instance.
+     *
+     * @param versions knows which version began a stream, not null
+     * @param servingVersions knows which versions may have begun streams, not null
+     * @param catalog the known replicas, not null
+     * @param processCheck asks a replica whether it still runs the known process; never fails, not null
+     */
     StreamResumption(
-            StreamVersions versions, ReplicaCatalog catalog, CurrentReplicas currentReplicas, InstantSource wallClock) {
-        this.currentReplicas = Objects.requireNonNull(currentReplicas, "currentReplicas");
+            StreamVersions versions,
+            ServingVersions servingVersions,
+            ReplicaCatalog catalog,
+            Function<ReplicaState, CompletableFuture<Boolean>> processCheck) {
         this.versions = Objects.requireNonNull(versions, "versions");
+        this.servingVersions = Objects.requireNonNull(servingVersions, "servingVersions");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
-        this.wallClock = Objects.requireNonNull(wallClock, "wallClock");
+        this.processCheck = Objects.requireNonNull(processCheck, "processCheck");
     }
 
     /** Returns whether a call takes up a stream that has begun in another call. */
@@ -50,41 +59,36 @@
                 .orElse(CompletableFuture.completedFuture(Optional.empty()))
                 .thenCompose(version -> version.isPresent()
                         ? CompletableFuture.completedFuture(version)
-                        : confirmedOnlyVersion(exchange));
+                        : servingVersions.onlyVersion(exchange.service));
     }
 
     /**
-     * Returns the only version that the catalog knows if the store confirms it: an entry that was suspended or cut off
-     * does not know the replicas of a newer version that joined meanwhile, and the stream may have begun at one.
+     * Returns whether a replica must be asked for its process before it continues a stream: while the replica list may be
+     * out of date, the replica may have started again with other software.
      */
-    private CompletableFuture<Optional<SoftwareVersion>> confirmedOnlyVersion(Exchange exchange) {
-        Optional<SoftwareVersion> only = onlyVersion(exchange);
-        if (only.isEmpty()) {
-            return CompletableFuture.completedFuture(only);
-        }
-        return currentReplicas
-                .read()
-                .thenApply(replicas -> replicas.isPresent()
-                                && replicas.get().stream()
-                                        .filter(replica -> replica.service().equals(exchange.service))
-                                        .allMatch(replica -> replica.software().equals(only.get()))
-                        ? only
-                        : Optional.empty());
+    boolean mustCheckProcess(Exchange exchange) {
+        return exchange.hasBegun() && !catalog.isListCurrent();
     }
 
-    /** Returns the version of all replicas, if none of another one has served since the stream can have begun. */
-    private Optional<SoftwareVersion> onlyVersion(Exchange exchange) {
-        return catalog.onlyVersion(
-                exchange.service, wallClock.millis(), exchange.route.timeout().plus(CLOCK_MARGIN));
+    /**
+     * Asks a replica whether it still runs the known process. As the connection for the call is open by then, and would not
+     * outlive the process, the answer holds for the call.
+     *
+     * @return true if so, false if the replica does not tell; never fails
+     */
+    CompletableFuture<Boolean> checkProcess(ReplicaState replica) {
+        return processCheck.apply(replica);
     }
 
-    /** Ties the stream to the version of the replica that sends its first event. */
-    void onFirstEvent(Exchange exchange) {
-        if (exchange.route.resumable()) {
-            SoftwareVersion version = exchange.replica.listed().software();
-            exchange.software = Optional.of(version);
-            versions.onBegun(firstCall(exchange).orElse(new CallId(exchange.head.id())), version);
+    /** Ties the stream to the process that sends its first event, and to the version of its software. */
+    void onFirstEvent(Exchange exchange, ReplicaProcess process) {
+        if (!exchange.route.resumable()) {
+            return;
         }
+        exchange.begunBy(process);
+        process.software()
+                .ifPresent(version ->
+                        versions.onBegun(firstCall(exchange).orElse(new CallId(exchange.head.id())), version));
     }
 
     private static Optional<CallId> firstCall(Exchange exchange) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
@@ -376,11 +376,7 @@
                 replica,
                 "accepted order",
                 () -> replica.onOrderState(
-                        replica.processStartMillis(),
-                        newOrderCount,
-                        residents,
-                        newLoading,
-                        replica.expectedLoadEndMillis()));
+                        replica.process(), newOrderCount, residents, newLoading, replica.expectedLoadEndMillis()));
         if (!order.load() && order.adapter().isEmpty()) {
             replica.onUnloadAccepted(order.model());
         }
@@ -396,7 +392,7 @@
     /** Waits for the expected time, then polls until the load ends; the result is true if the model is resident. */
     private Uni<Boolean> awaitLoad(ReplicaState replica, ModelSpec spec, Duration expected) {
         replica.onOrderState(
-                replica.processStartMillis(),
+                replica.process(),
                 replica.acceptedOrders(),
                 replica.residents(),
                 Optional.of(spec.name()),
@@ -436,7 +432,8 @@
                         replica.invalidateOrderCount();
                     }
                     boolean replacesState = report.holdings().acceptedOrders() != replica.acceptedOrders()
-                            || report.holdings().processStartMillis() != replica.processStartMillis()
+                            || report.holdings().processStartMillis()
+                                    != replica.process().startMillis()
                             || !isStateVerified(replica);
                     boolean changed = catalog.update(replica, "report", () -> {
                         if (replacesState) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaStateBroadcaster.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaStateBroadcaster.java
@@ -100,7 +100,8 @@
     private PeerMessage.ReplicaNotice notice(ReplicaState replica) {
         return new PeerMessage.ReplicaNotice(
                 replica.id(),
-                replica.processStartMillis(),
+                replica.process().startMillis(),
+                replica.process().software(),
                 replica.acceptedOrders(),
                 replica.residents(),
                 replica.loading(),
--- /dev/null
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
@@ -0,0 +1,73 @@
+package org.tarragonring.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.smallrye.mutiny.Uni;
+import org.tarragonring.objects.RevisionedStore;
+import org.tarragonring.objects.StoreException;
+import org.tarragonring.objects.StoredObject;
+import org.tarragonring.objects.WatchBatch;
+
+/** A store in memory that responds at once. Its watches never end. */
+public final class MemoryStore implements RevisionedStore {
+
+    private final Map<String, StoredObject> objects = new TreeMap<>();
+    private long revision = 100;
+    private int writeCount;
+
+    /** Creates or replaces an object, as another writer does. */
+    public void put(String key, byte[] value) {
+        objects.put(key, new StoredObject(key, ++revision, value));
+    }
+
+    /** Returns the number of conditional writes, also of those that were rejected. */
+    public int writeCount() {
+        return writeCount;
+    }
+
+    @Override
+    public Uni<Snapshot> snapshot(String prefix) {
+        return list(prefix).map(listed -> new Snapshot(revision, listed));
+    }
+
+    @Override
+    public Uni<Optional<StoredObject>> read(String key) {
+        return Uni.createFrom().item(Optional.ofNullable(objects.get(key)));
+    }
+
+    @Override
+    public Uni<List<StoredObject>> list(String prefix) {
+        return Uni.createFrom()
+                .item(objects.values().stream()
+                        .filter(object -> object.key().startsWith(prefix))
+                        .toList());
+    }
+
+    @Override
+    public Uni<Long> write(String key, long expectedVersion, byte[] value) {
+        writeCount++;
+        long version = objects.containsKey(key) ? objects.get(key).version() : ABSENT_VERSION;
+        if (version != expectedVersion) {
+            return Uni.createFrom()
+                    .failure(new StoreException(
+                            StoreException.Kind.CONFLICT, "version of %s is %d".formatted(key, version)));
+        }
+        put(key, value);
+        return Uni.createFrom().item(revision);
+    }
+
+    @Override
+    public Uni<Void> delete(String key, long expectedVersion) {
+        objects.remove(key);
+        return Uni.createFrom().voidItem();
+    }
+
+    @Override
+    public Uni<WatchBatch> watch(String prefix, long afterRevision, Duration wait) {
+        return Uni.createFrom().nothing();
+    }
+}
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
@@ -67,7 +67,7 @@
     @Test
     void loadWhosePrecedingUnloadWasAcceptedStaysInProgress() {
         pendingLoads.add(replica, MODEL, 3_000);
-        replica.onOrderState(PROCESS_START_MILLIS, 5, Map.of(), Optional.empty(), 0);
+        replica.onOrderState(replica.process(), 5, Map.of(), Optional.empty(), 0);
         nowMillis += PendingLoads.START_TIMEOUT.toMillis();
 
         assertEquals(MODEL, pendingLoads.inProgress(replica).orElseThrow().model());
@@ -78,7 +78,7 @@
     void loadDroppedByALiveHolderIsForgottenWithoutAvoidingItsReplica() {
         pendingLoads.add(replica, MODEL, 6_000);
         nowMillis += PendingLoads.START_TIMEOUT.toMillis() - 100;
-        replica.onOrderState(PROCESS_START_MILLIS, 4, Map.of(), Optional.empty(), 0);
+        replica.onOrderState(replica.process(), 4, Map.of(), Optional.empty(), 0);
         assertEquals(MODEL, pendingLoads.inProgress(replica).orElseThrow().model());
         nowMillis += 100;
 
@@ -89,7 +89,7 @@
     @Test
     void loadThatIsTooLongOverdueIsForgotten() {
         pendingLoads.add(replica, MODEL, 100);
-        replica.onOrderState(PROCESS_START_MILLIS, 5, Map.of(), Optional.empty(), 0);
+        replica.onOrderState(replica.process(), 5, Map.of(), Optional.empty(), 0);
         nowMillis += 100 + PendingLoads.MAX_OVERDUE.toMillis();
 
         assertEquals(Optional.empty(), pendingLoads.inProgress(replica));
@@ -98,7 +98,7 @@
     @Test
     void loadOfAResidentModelIsNoLongerInProgress() {
         pendingLoads.add(replica, MODEL, 700);
-        replica.onOrderState(PROCESS_START_MILLIS, 5, Map.of(MODEL, Set.of()), Optional.empty(), 0);
+        replica.onOrderState(replica.process(), 5, Map.of(MODEL, Set.of()), Optional.empty(), 0);
 
         assertEquals(Optional.empty(), pendingLoads.inProgress(replica));
     }
--- /dev/null
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -0,0 +1,204 @@
+package org.tarragonring.gateway.streams;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.tarragonring.gateway.ManualTime;
+import org.tarragonring.gateway.MemoryStore;
+import org.tarragonring.gateway.catalog.CurrentReplicas;
+import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.ids.HostPort;
+import org.tarragonring.ids.ServiceName;
+import org.tarragonring.ids.SoftwareVersion;
+import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.objects.StoredObject;
+import org.tarragonring.policy.replica.ListedReplica;
+import org.tarragonring.policy.replica.ListedReplica.Holdings;
+import org.tarragonring.routing.Ejections;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/**
+ * After all entries have started again, nobody knows which version of the replicas' software began a stream. A guess may
+ * join what two versions write, and a refusal strands the streams of a service that has one version only.
+ */
+class ServingVersionsTest {
+
+    private static final ServiceName SERVICE = new ServiceName("llm");
+    private static final Duration LONGEST_STREAM = Duration.ofSeconds(16);
+    private static final Duration CHECKED =
+            ServingVersions.SETTLE_TIME.plus(ServingVersions.CHECK_PERIOD.multipliedBy(3));
+    private static final Optional<SoftwareVersion> V1 = Optional.of(new SoftwareVersion("v1"));
+    private static final Optional<SoftwareVersion> V2 = Optional.of(new SoftwareVersion("v2"));
+
+    private final ManualTime time = new ManualTime();
+    private final MemoryStore store = new MemoryStore();
+    private boolean responsible = true;
+    private boolean listCurrent = true;
+    private Entry entry = new Entry();
+
+    @Test
+    void onlyVersionIsKnownAfterARestartAlsoIfAReplicaIsYoung() {
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+
+        restart();
+        entry.list("old-1", "v1");
+        entry.list("young-1", "v1");
+
+        assertEquals(V1, entry.onlyVersion());
+    }
+
+    // Guards against the version that is listed now being taken for that of a stream which one that has left began.
+    @Test
+    void versionThatLeftBeforeTheRestartIsRemembered() {
+        entry.list("old-1", "v1");
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+        entry.catalog.remove(new UpstreamId("old-1"));
+
+        restart();
+        entry.list("new-1", "v2");
+
+        assertEquals(Optional.empty(), entry.onlyVersion());
+        time.advance(CHECKED);
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    @Test
+    void versionIsForgottenWhenNoneOfItsStreamsCanRun() {
+        entry.list("old-1", "v1");
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+        entry.catalog.remove(new UpstreamId("old-1"));
+        time.advance(LONGEST_STREAM.minusSeconds(1));
+        assertEquals(Optional.empty(), entry.onlyVersion());
+
+        time.advance(CHECKED);
+
+        assertEquals(V2, entry.onlyVersion());
+    }
+
+    @Test
+    void versionThatIsListedButNotRecordedYetCounts() {
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        entry.list("new-1", "v2");
+
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    @Test
+    void nothingIsKnownWithoutARecord() {
+        entry.list("old-1", "v1");
+
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    @Test
+    void versionThatIsNotToldIsNoVersion() {
+        entry.list("old-1", "");
+        time.advance(CHECKED);
+
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    // Guards against an entry that was cut off and does not know of a newer version.
+    @Test
+    void storeIsAskedForTheListWhileTheOwnOneMayBeOutOfDate() {
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        listCurrent = false;
+        store.put("servers/old-1", "v1".getBytes(StandardCharsets.UTF_8));
+        store.put("servers/new-1", "v2".getBytes(StandardCharsets.UTF_8));
+
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    @Test
+    void unreadableRecordIsReplacedWhenItNoLongerMatters() {
+        store.put(ServingVersions.KEY, "[7]".getBytes(StandardCharsets.UTF_8));
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        assertEquals(Optional.empty(), entry.onlyVersion());
+
+        time.advance(LONGEST_STREAM.multipliedBy(2));
+
+        assertEquals(V1, entry.onlyVersion());
+    }
+
+    @Test
+    void recordIsWrittenOncePerChangeOfTheVersions() {
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        for (int i = 0; i < 20; i++) {
+            entry.list("old-" + i, "v1");
+            time.advance(ServingVersions.CHECK_PERIOD);
+        }
+        assertEquals(1, store.writeCount());
+
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+        assertEquals(2, store.writeCount());
+    }
+
+    @Test
+    void onlyTheResponsibleEntryWrites() {
+        responsible = false;
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+
+        assertEquals(0, store.writeCount());
+    }
+
+    private void restart() {
+        entry.versions.stop();
+        entry = new Entry();
+    }
+
+    private static ListedReplica decode(StoredObject object) {
+        return replica(object.key().substring("servers/".length()), new String(object.value(), StandardCharsets.UTF_8));
+    }
+
+    private static ListedReplica replica(String id, String version) {
+        return new ListedReplica(
+                new UpstreamId(id),
+                SERVICE,
+                new HostPort("10.0.0.1", 8_000),
+                "domain-a",
+                new SoftwareVersion(version),
+                64,
+                false,
+                new Holdings(1, Holdings.UNKNOWN_ORDER_COUNT, Map.of(), Set.of(), Set.of()));
+    }
+
+    private final class Entry {
+
+        private final ReplicaCatalog catalog = new ReplicaCatalog(time, new Ejections(time));
+        private final ServingVersions versions = new ServingVersions(
+                store,
+                catalog,
+                new CurrentReplicas(store, "servers/", object -> Optional.of(decode(object))),
+                () -> responsible,
+                () -> LONGEST_STREAM,
+                time,
+                time);
+
+        private Entry() {
+            catalog.setListCurrent(() -> listCurrent);
+            versions.start();
+        }
+
+        private void list(String id, String version) {
+            catalog.put(replica(id, version));
+        }
+
+        private Optional<SoftwareVersion> onlyVersion() {
+            return versions.onlyVersion(SERVICE).join();
+        }
+    }
+}
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
@@ -1,5 +1,6 @@
 package org.tarragonring.policy.config;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -80,6 +81,20 @@
         return services;
     }
 
+    /**
+     * Returns how long a stream may last on any route.
+     *
+     * @return the longest timeout of the routes for streams, zero if there are none
+     */
+    public Duration longestStreamTimeout() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.kind() == RouteKind.STREAM)
+                .map(Route::timeout)
+                .max(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+    }
+
     /**
      * Returns the number of distinct hosts in the routes.
      *
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ListedReplica.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ListedReplica.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
 import org.tarragonring.ids.HostPort;
@@ -17,7 +18,7 @@
  * @param service the service that the replica belongs to, not null
  * @param address the address that the replica listens on, not null
  * @param failureDomain the failure domain of the replica, not null
- * @param software the version of the replica's software, not null
+ * @param software the version of the replica's software, whose name is empty if it is not told; not null
  * @param slots the number of requests that the replica runs concurrently
  * @param draining whether the replica is about to shut down and accepts no new calls
  * @param holdings the models that the replica held at its last heartbeat, not null
@@ -43,6 +44,17 @@
         Objects.requireNonNull(holdings, "holdings");
     }
 
+    /**
+     * Returns the process that wrote the registration.
+     *
+     * @return the process; its software is not known if the registration names none
+     */
+    public ReplicaProcess process() {
+        Optional<SoftwareVersion> known =
+                Optional.of(software).filter(version -> !version.value().isEmpty());
+        return new ReplicaProcess(id, holdings.processStartMillis(), known);
+    }
+
     /**
      * The models and adapters that a replica reports to hold.
      *
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -38,7 +38,7 @@
 
     private final MonotonicClock clock;
     private ListedReplica listed;
-    private long processStartMillis;
+    private ReplicaProcess process;
     private long acceptedOrders = Holdings.UNKNOWN_ORDER_COUNT;
     private long lastOrderUpdateMillis;
     private final Map<ModelName, Set<String>> residents = new HashMap<>();
@@ -61,7 +61,7 @@
         this.listed = Objects.requireNonNull(listed, "listed");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.lastOrderUpdateMillis = clock.millis() - MAX_LIST_LAG_MILLIS;
-        restart(listed.holdings());
+        restart(listed.process(), listed.holdings());
     }
 
     /**
@@ -75,9 +75,18 @@
     public void onListed(ListedReplica update, boolean trustResidents) {
         listed = update;
         Holdings holdings = update.holdings();
-        if (trustResidents || holdings.processStartMillis() > processStartMillis) {
+        ReplicaProcess listedProcess = update.process();
+        if (listedProcess.isNewerThan(process)) {
+            restart(listedProcess, holdings);
+            return;
+        }
+        if (!listedProcess.isSameAs(process)) {
+            return;
+        }
+        process = process.mergedWith(listedProcess);
+        if (trustResidents) {
             mergeHoldings(holdings);
-        } else if (holdings.processStartMillis() == processStartMillis) {
+        } else {
             inMemory = holdings.inMemory();
             onDisk = holdings.onDisk();
         }
@@ -89,14 +98,16 @@
      * is equal, the report only adds models, since a model missing in it may have finished loading after the report
      * was created.
      *
+     * <p>A report does not tell the version of the replica's software, which is then unknown if the process is new.
+     *
      * @param holdings the reported holdings, not null; ignored if they are from an earlier process of the replica
      */
     public void mergeHoldings(Holdings holdings) {
-        if (holdings.processStartMillis() < processStartMillis) {
+        if (holdings.processStartMillis() < process.startMillis()) {
             return;
         }
-        if (holdings.processStartMillis() > processStartMillis) {
-            restart(holdings);
+        if (holdings.processStartMillis() > process.startMillis()) {
+            restart(reportingProcess(holdings), holdings);
             return;
         }
         inMemory = holdings.inMemory();
@@ -121,9 +132,10 @@
      * @param holdings the reported holdings, not null; ignored if they have an earlier process start or fewer orders
      */
     public void replaceHoldings(Holdings holdings) {
-        if (holdings.processStartMillis() > processStartMillis) {
-            restart(holdings);
-        } else if (holdings.processStartMillis() == processStartMillis && holdings.acceptedOrders() >= acceptedOrders) {
+        if (holdings.processStartMillis() > process.startMillis()) {
+            restart(reportingProcess(holdings), holdings);
+        } else if (holdings.processStartMillis() == process.startMillis()
+                && holdings.acceptedOrders() >= acceptedOrders) {
             inMemory = holdings.inMemory();
             onDisk = holdings.onDisk();
             acceptedOrders = holdings.acceptedOrders();
@@ -154,26 +166,26 @@
      * Applies the state that follows from the orders of the lease holder. Ignores it if it has an earlier process
      * start or fewer orders than the known state.
      *
-     * @param newProcessStartMillis the start time of the replica process, in Unix milliseconds
+     * @param newProcess the process of the replica, not null
      * @param newAcceptedOrders the number of orders that the replica has accepted
      * @param newResidents the models that the replica can run, with their adapters; not null
      * @param newLoading the model that the replica is loading, empty if there is none; not null
      * @param newExpectedLoadEndMillis the expected end of the load, in milliseconds of the monotonic clock
      */
     public void onOrderState(
-            long newProcessStartMillis,
+            ReplicaProcess newProcess,
             long newAcceptedOrders,
             Map<ModelName, Set<String>> newResidents,
             Optional<ModelName> newLoading,
             long newExpectedLoadEndMillis) {
-        if (newProcessStartMillis < processStartMillis
-                || newProcessStartMillis == processStartMillis && newAcceptedOrders < acceptedOrders) {
+        boolean isSameProcess = newProcess.isSameAs(process);
+        if (process.isNewerThan(newProcess) || isSameProcess && newAcceptedOrders < acceptedOrders) {
             return;
         }
-        if (newAcceptedOrders > acceptedOrders || newProcessStartMillis > processStartMillis) {
+        if (newAcceptedOrders > acceptedOrders || !isSameProcess) {
             unavailableUntilMillis.clear();
         }
-        processStartMillis = newProcessStartMillis;
+        process = isSameProcess ? process.mergedWith(newProcess) : newProcess;
         acceptedOrders = newAcceptedOrders;
         unloading =
                 unloading.filter(model -> !newLoading.equals(Optional.of(model)) && !newResidents.containsKey(model));
@@ -353,12 +365,12 @@
     }
 
     /**
-     * Returns the start time of the replica process.
+     * Returns the newest process of the replica that any source has told of.
      *
-     * @return the time in Unix milliseconds
+     * @return the process, never null; its software is unknown if only sources that do not tell it know the process
      */
-    public long processStartMillis() {
-        return processStartMillis;
+    public ReplicaProcess process() {
+        return process;
     }
 
     /**
@@ -379,8 +391,12 @@
         return lastOrderUpdateMillis;
     }
 
-    private void restart(Holdings holdings) {
-        processStartMillis = holdings.processStartMillis();
+    private ReplicaProcess reportingProcess(Holdings holdings) {
+        return new ReplicaProcess(id(), holdings.processStartMillis(), Optional.empty());
+    }
+
+    private void restart(ReplicaProcess newProcess, Holdings holdings) {
+        process = newProcess;
         acceptedOrders = holdings.acceptedOrders();
         unavailableUntilMillis.clear();
         residents.clear();
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -27,6 +27,9 @@
     private static final ModelName BUSY = new ModelName("busy");
     private static final ModelName RARE = new ModelName("rare");
     private static final long PROCESS_START_MILLIS = 1_000;
+    private static final ReplicaProcess PROCESS =
+            new ReplicaProcess(new UpstreamId("replica-1"), PROCESS_START_MILLIS, Optional.empty());
+    private static final Optional<SoftwareVersion> SOFTWARE = Optional.of(new SoftwareVersion("v1"));
 
     private long nowMillis = 10_000;
     private final MonotonicClock clock = () -> nowMillis * MonotonicClock.NANOS_PER_MILLI;
@@ -35,7 +38,7 @@
     @Test
     void staleReportWithSameOrderCountDoesNotRemoveLoadedModel() {
         state.mergeHoldings(holdings(PROCESS_START_MILLIS, 0, Set.of(BUSY)));
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 6_000);
+        state.onOrderState(PROCESS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 6_000);
         nowMillis += 6_000;
 
         state.onListed(listed(PROCESS_START_MILLIS, Set.of(BUSY, RARE)), true);
@@ -47,9 +50,8 @@
 
     @Test
     void reportThatStillListsUnloadingModelDoesNotRestoreIt() {
-        state.onOrderState(
-                PROCESS_START_MILLIS, 1, Map.of(BUSY, Set.of(), RARE, Set.of()), Optional.empty(), nowMillis);
-        state.onOrderState(PROCESS_START_MILLIS, 2, Map.of(BUSY, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 1, Map.of(BUSY, Set.of(), RARE, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 2, Map.of(BUSY, Set.of()), Optional.empty(), nowMillis);
         state.onUnloadAccepted(RARE);
 
         state.mergeHoldings(holdings(PROCESS_START_MILLIS, 2, Set.of(BUSY, RARE)));
@@ -61,7 +63,7 @@
     void staleReportDoesNotRestoreUnloadedAdapter() {
         state.mergeHoldings(
                 new Holdings(PROCESS_START_MILLIS, 1, Map.of(BUSY, Set.of("a1", "a2")), Set.of(), Set.of()));
-        state.onOrderState(PROCESS_START_MILLIS, 2, Map.of(BUSY, Set.of("a2")), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 2, Map.of(BUSY, Set.of("a2")), Optional.empty(), nowMillis);
 
         state.mergeHoldings(
                 new Holdings(PROCESS_START_MILLIS, 2, Map.of(BUSY, Set.of("a1", "a2")), Set.of(), Set.of()));
@@ -71,7 +73,7 @@
 
     @Test
     void overdueLoadWithoutLiveLeaseHolderIsCompletedByRegistration() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
+        state.onOrderState(PROCESS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
         nowMillis += 800 + ReplicaState.MAX_LOAD_OVERDUE_MILLIS;
 
         state.onListed(listed(PROCESS_START_MILLIS, Set.of(RARE)), true);
@@ -84,7 +86,7 @@
 
     @Test
     void registrationDoesNotCompleteLoadThatIsNotYetOverdue() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
+        state.onOrderState(PROCESS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
         nowMillis += 800 + ReplicaState.MAX_LOAD_OVERDUE_MILLIS - 1;
 
         state.onListed(listed(PROCESS_START_MILLIS, Set.of(BUSY, RARE)), true);
@@ -94,7 +96,7 @@
 
     @Test
     void overdueLoadWithoutUpdatesExpires() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
+        state.onOrderState(PROCESS, 1, Map.of(BUSY, Set.of()), Optional.of(RARE), nowMillis + 800);
         nowMillis += 800 + ReplicaState.MAX_LIST_LAG_MILLIS;
 
         assertEquals(Optional.empty(), state.loading());
@@ -102,7 +104,7 @@
 
     @Test
     void listedResidentsAreIgnoredWhileOrderUpdatesAreRecent() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
         nowMillis += ReplicaState.MAX_LIST_LAG_MILLIS - 1;
 
         state.onListed(listed(PROCESS_START_MILLIS, Set.of(BUSY)), true);
@@ -113,7 +115,7 @@
 
     @Test
     void listedResidentsAreAppliedOnceOrderUpdatesAreOld() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
         nowMillis += ReplicaState.MAX_LIST_LAG_MILLIS;
 
         state.onListed(listed(PROCESS_START_MILLIS, Set.of(BUSY)), true);
@@ -124,7 +126,7 @@
 
     @Test
     void staleRegistrationDoesNotChangeResidentsAtLeaseHolder() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
         nowMillis += 60_000;
 
         state.onListed(listed(PROCESS_START_MILLIS, Set.of()), false);
@@ -136,7 +138,7 @@
 
     @Test
     void replicaRestartResetsResidentsAtLeaseHolder() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 1, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
 
         state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), false);
 
@@ -145,7 +147,7 @@
 
     @Test
     void replicaRestartClearsResidentsLoadAndOrderCount() {
-        state.onOrderState(PROCESS_START_MILLIS, 5, Map.of(BUSY, Set.of("a1")), Optional.of(RARE), nowMillis + 500);
+        state.onOrderState(PROCESS, 5, Map.of(BUSY, Set.of("a1")), Optional.of(RARE), nowMillis + 500);
 
         state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), true);
 
@@ -163,15 +165,15 @@
 
     @Test
     void noticeWithFewerOrdersIsIgnored() {
-        state.onOrderState(PROCESS_START_MILLIS, 3, Map.of(BUSY, Set.of()), Optional.empty(), nowMillis);
-        state.onOrderState(PROCESS_START_MILLIS, 2, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 3, Map.of(BUSY, Set.of()), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 2, Map.of(RARE, Set.of()), Optional.empty(), nowMillis);
 
         assertTrue(state.holds(BUSY, ""));
     }
 
     @Test
     void unavailableAdapterIsTemporarilyUnusedButStillCountsAsResident() {
-        state.onOrderState(PROCESS_START_MILLIS, 1, Map.of(BUSY, Set.of("a1", "a2")), Optional.empty(), nowMillis);
+        state.onOrderState(PROCESS, 1, Map.of(BUSY, Set.of("a1", "a2")), Optional.empty(), nowMillis);
 
         state.markUnavailable(BUSY, "a1", 50);
 
@@ -185,6 +187,50 @@
         assertTrue(state.canRun(BUSY, "a1"));
     }
 
+    @Test
+    void softwareIsThatOfTheRegisteredProcess() {
+        assertEquals(SOFTWARE, state.process().software());
+        state.onOrderState(PROCESS, 1, Map.of(), Optional.empty(), nowMillis);
+        assertEquals(SOFTWARE, state.process().software());
+    }
+
+    // Guards against the version of a replica's old process being taken for that of its new one.
+    @Test
+    void softwareOfANewProcessIsUnknownUntilASourceTellsIt() {
+        ReplicaProcess restarted = new ReplicaProcess(state.id(), PROCESS_START_MILLIS + 1, Optional.empty());
+        state.onOrderState(restarted, 0, Map.of(), Optional.empty(), nowMillis);
+        assertEquals(Optional.empty(), state.process().software());
+
+        state.onListed(listed(PROCESS_START_MILLIS, Set.of()), true);
+        assertEquals(Optional.empty(), state.process().software());
+
+        state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), true);
+        assertEquals(SOFTWARE, state.process().software());
+    }
+
+    @Test
+    void reportOfANewProcessLeavesItsSoftwareUnknown() {
+        state.mergeHoldings(holdings(PROCESS_START_MILLIS + 1, 0, Set.of()));
+        assertEquals(Optional.empty(), state.process().software());
+
+        state.replaceHoldings(holdings(PROCESS_START_MILLIS + 2, 0, Set.of()));
+        assertEquals(PROCESS_START_MILLIS + 2, state.process().startMillis());
+        assertEquals(Optional.empty(), state.process().software());
+    }
+
+    @Test
+    void noticeOfANewProcessReplacesTheSoftware() {
+        Optional<SoftwareVersion> newer = Optional.of(new SoftwareVersion("v2"));
+        state.onOrderState(
+                new ReplicaProcess(state.id(), PROCESS_START_MILLIS + 1, newer),
+                0,
+                Map.of(),
+                Optional.empty(),
+                nowMillis);
+
+        assertEquals(newer, state.process().software());
+    }
+
     private static ListedReplica listed(long processStartMillis, Set<ModelName> models) {
         return new ListedReplica(
                 new UpstreamId("replica-1"),
