Carry the ids of calls and streams as they come

Cause: a stream was identified by a CallId, which allows letters, digits and few other characters.

Change: StreamId takes any text of a header. Reports of streams to other entries are split by bytes, not by number.

--- a/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.tarragonring.ids.CallId;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.SoftwareVersion;
@@ -86,7 +86,7 @@
                             .map(stream -> new WireBegunStream(
                                     stream.getKey().value(), stream.getValue().value()))
                             .toList(),
-                    report.asked().stream().map(CallId::value).toList()));
+                    report.asked().stream().map(StreamId::value).toList()));
         }
         throw new IllegalArgumentException("no wire format is defined for message %s".formatted(message));
     }
@@ -141,12 +141,12 @@
     }
 
     private static PeerMessage.StreamReport fromWire(WireStreamReport wire) {
-        Map<CallId, SoftwareVersion> begun = new HashMap<>();
+        Map<StreamId, SoftwareVersion> begun = new HashMap<>();
         for (WireBegunStream stream : wire.getBegun()) {
-            begun.put(new CallId(stream.getCallId()), new SoftwareVersion(stream.getSoftwareVersion()));
+            begun.put(new StreamId(stream.getCallId()), new SoftwareVersion(stream.getSoftwareVersion()));
         }
         return new PeerMessage.StreamReport(
-                begun, wire.getAsked().stream().map(CallId::new).toList());
+                begun, wire.getAsked().stream().map(StreamId::new).toList());
     }
 
     private static WireFailedRun toWire(PeerMessage.FailedRun run) {
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.tarragonring.ids.CallId;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
@@ -220,7 +220,7 @@
      * @param begun the versions by the ids of the calls that got the first events, not null
      * @param asked the ids of calls whose version the sender asks for, not null
      */
-    record StreamReport(Map<CallId, SoftwareVersion> begun, List<CallId> asked) implements PeerMessage {
+    record StreamReport(Map<StreamId, SoftwareVersion> begun, List<StreamId> asked) implements PeerMessage {
 
         /** Makes immutable copies. */
         public StreamReport {
--- a/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.tarragonring.ids.CallId;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
@@ -92,7 +92,7 @@
                                         9)),
                         List.of(new PeerMessage.Answered(new RequestFingerprint("2c3d"), 10))),
                 new PeerMessage.StreamReport(
-                        Map.of(new CallId("c1"), new SoftwareVersion("v2")), List.of(new CallId("c2"))));
+                        Map.of(new StreamId("c1"), new SoftwareVersion("v2")), List.of(new StreamId("c2"))));
     }
 
     private static Datagram datagram(PeerMessage message) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
@@ -13,6 +13,7 @@
  * @param id the id of the entry, not null
  * @param failureDomain the failure domain of the entry, not null
  * @param callerAddress the address to listen on for callers, not null
+ * @param maxIdBytes the maximum length of the ids that callers give to their calls, 1 to {@value #LARGEST_MAX_ID_BYTES}
  * @param peerAddress the address to listen on for other entries, not null
  * @param peerKey the secret that all entries share to authenticate their messages, not null
  * @param contactTime the time after a fault of its connections within which an entry must have caught up with the store,
@@ -28,6 +29,7 @@
         EntryId id,
         String failureDomain,
         HostPort callerAddress,
+        int maxIdBytes,
         HostPort peerAddress,
         String peerKey,
         Duration contactTime,
@@ -37,11 +39,18 @@
         Duration shutdownLimit,
         RetryBudgetSettings retryBudget) {
 
+    /** The largest maximum of the length of ids; two of them fit into a message between entries. */
+    public static final int LARGEST_MAX_ID_BYTES = 2_000;
+
     /** Validates the components. */
     public GatewaySettings {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(callerAddress, "callerAddress");
+        if (maxIdBytes < 1 || maxIdBytes > LARGEST_MAX_ID_BYTES) {
+            throw new IllegalArgumentException(
+                    "maxIdBytes must be from 1 to %d, but is %d".formatted(LARGEST_MAX_ID_BYTES, maxIdBytes));
+        }
         Objects.requireNonNull(peerAddress, "peerAddress");
         Objects.requireNonNull(peerKey, "peerKey");
         Objects.requireNonNull(contactTime, "contactTime");
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
@@ -5,7 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import org.tarragonring.ids.CallId;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.ModelName;
 
 /**
@@ -52,7 +52,7 @@
      *
      * @param firstCall the call that got the first event, empty if the caller does not tell; not null
      */
-    public record ResumedStream(Optional<CallId> firstCall) {
+    public record ResumedStream(Optional<StreamId> firstCall) {
 
         /** Rejects null. */
         public ResumedStream {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
@@ -9,7 +9,7 @@
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
-import org.tarragonring.ids.CallId;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.policy.config.RouteKind;
 import org.tarragonring.policy.replica.ReplicaProcess;
@@ -88,10 +88,10 @@
         exchange.begunBy(process);
         process.software()
                 .ifPresent(version ->
-                        versions.onBegun(firstCall(exchange).orElse(new CallId(exchange.head.id())), version));
+                        versions.onBegun(firstCall(exchange).orElse(new StreamId(exchange.head.id())), version));
     }
 
-    private static Optional<CallId> firstCall(Exchange exchange) {
+    private static Optional<StreamId> firstCall(Exchange exchange) {
         return exchange.head.resumedStream().flatMap(CallHead.ResumedStream::firstCall);
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/StreamVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/StreamVersions.java
@@ -1,5 +1,6 @@
 package org.tarragonring.gateway.streams;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,7 +13,7 @@
 
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.home.Rendezvous;
-import org.tarragonring.ids.CallId;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.peer.Member;
@@ -47,7 +48,10 @@
     private static final int MAX_STREAMS = 20_000;
 
     /** Keeps the size of a report well below that of a datagram. */
-    private static final int MAX_STREAMS_PER_REPORT = 80;
+    private static final int MAX_REPORT_BYTES = 5_000;
+
+    /** The bytes of a stream in a report besides its id and version. */
+    private static final int STREAM_OVERHEAD_BYTES = 8;
 
     private final EntryId self;
     private final String failureDomain;
@@ -56,10 +60,10 @@
     private final Timers timers;
 
     /** The oldest first. */
-    private final Map<CallId, Stream> streams = new LinkedHashMap<>();
+    private final Map<StreamId, Stream> streams = new LinkedHashMap<>();
 
-    private final Map<CallId, SoftwareVersion> unreported = new HashMap<>();
-    private final Map<CallId, CompletableFuture<Optional<SoftwareVersion>>> asked = new HashMap<>();
+    private final Map<StreamId, SoftwareVersion> unreported = new HashMap<>();
+    private final Map<StreamId, CompletableFuture<Optional<SoftwareVersion>>> asked = new HashMap<>();
 
     /**
      * Creates an instance that is not started.
@@ -86,67 +90,67 @@
     /**
      * Remembers a stream that has begun, and tells other entries of it.
      *
-     * @param callId the id of the call that gets the first event, not null
+     * @param streamId the id of the call that gets the first event, not null
      * @param version the version of the software that began the stream, not null
      */
-    public void onBegun(CallId callId, SoftwareVersion version) {
-        put(callId, version);
+    public void onBegun(StreamId streamId, SoftwareVersion version) {
+        put(streamId, version);
         if (unreported.isEmpty()) {
             timers.schedule(REPORT_DELAY, this::report);
         }
-        unreported.put(callId, version);
+        unreported.put(streamId, version);
     }
 
     /**
      * Finds the version of the software that began a stream.
      *
-     * @param callId the id of the call that got the first event, not null
+     * @param streamId the id of the call that got the first event, not null
      * @return the version, empty if neither this nor another entry that responds in time knows it; never fails
      */
-    public CompletableFuture<Optional<SoftwareVersion>> find(CallId callId) {
+    public CompletableFuture<Optional<SoftwareVersion>> find(StreamId streamId) {
         removeExpired();
-        Stream known = streams.get(callId);
+        Stream known = streams.get(streamId);
         if (known != null) {
             return CompletableFuture.completedFuture(Optional.of(known.version));
         }
-        CompletableFuture<Optional<SoftwareVersion>> pending = asked.get(callId);
+        CompletableFuture<Optional<SoftwareVersion>> pending = asked.get(streamId);
         if (pending != null) {
             return pending;
         }
         if (otherEntries().isEmpty()) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        return ask(callId);
+        return ask(streamId);
     }
 
-    private CompletableFuture<Optional<SoftwareVersion>> ask(CallId callId) {
+    private CompletableFuture<Optional<SoftwareVersion>> ask(StreamId streamId) {
         CompletableFuture<Optional<SoftwareVersion>> response = new CompletableFuture<>();
-        asked.put(callId, response);
-        PeerMessage question = new PeerMessage.StreamReport(Map.of(), List.of(callId));
+        asked.put(streamId, response);
+        PeerMessage question = new PeerMessage.StreamReport(Map.of(), List.of(streamId));
         mesh.broadcast(question);
         Timers.Task repetition = timers.schedule(REPEAT_DELAY, () -> mesh.broadcast(question));
         Timers.Task timeout = timers.schedule(RESPONSE_TIMEOUT, () -> response.complete(Optional.empty()));
         response.thenRun(() -> {
             repetition.cancel();
             timeout.cancel();
-            asked.remove(callId);
+            asked.remove(streamId);
         });
         return response;
     }
 
     private void onReport(EntryId from, PeerMessage.StreamReport report) {
-        report.begun().forEach((callId, version) -> {
-            put(callId, version);
-            CompletableFuture<Optional<SoftwareVersion>> pending = asked.get(callId);
+        report.begun().forEach((streamId, version) -> {
+            put(streamId, version);
+            CompletableFuture<Optional<SoftwareVersion>> pending = asked.get(streamId);
             if (pending != null) {
                 pending.complete(Optional.of(version));
             }
         });
-        Map<CallId, SoftwareVersion> known = new HashMap<>();
-        for (CallId callId : report.asked()) {
-            Stream stream = streams.get(callId);
+        Map<StreamId, SoftwareVersion> known = new HashMap<>();
+        for (StreamId streamId : report.asked()) {
+            Stream stream = streams.get(streamId);
             if (stream != null) {
-                known.put(callId, stream.version);
+                known.put(streamId, stream.version);
             }
         }
         if (!known.isEmpty()) {
@@ -155,15 +159,32 @@
     }
 
     private void report() {
-        List<Map.Entry<CallId, SoftwareVersion>> begun = new ArrayList<>(unreported.entrySet());
-        unreported.clear();
         List<EntryId> backups = backups();
-        for (int from = 0; from < begun.size(); from += MAX_STREAMS_PER_REPORT) {
-            Map<CallId, SoftwareVersion> part = new HashMap<>();
-            begun.subList(from, Math.min(begun.size(), from + MAX_STREAMS_PER_REPORT))
-                    .forEach(stream -> part.put(stream.getKey(), stream.getValue()));
-            backups.forEach(backup -> mesh.send(backup, new PeerMessage.StreamReport(part, List.of())));
+        Map<StreamId, SoftwareVersion> part = new HashMap<>();
+        int partBytes = 0;
+        for (Map.Entry<StreamId, SoftwareVersion> begun : unreported.entrySet()) {
+            int bytes = byteCount(begun.getKey().value())
+                    + byteCount(begun.getValue().value())
+                    + STREAM_OVERHEAD_BYTES;
+            if (!part.isEmpty() && partBytes + bytes > MAX_REPORT_BYTES) {
+                send(part, backups);
+                part = new HashMap<>();
+                partBytes = 0;
+            }
+            part.put(begun.getKey(), begun.getValue());
+            partBytes += bytes;
         }
+        unreported.clear();
+        send(part, backups);
+    }
+
+    private static int byteCount(String text) {
+        return text.getBytes(StandardCharsets.UTF_8).length;
+    }
+
+    private void send(Map<StreamId, SoftwareVersion> begun, List<EntryId> receivers) {
+        PeerMessage message = new PeerMessage.StreamReport(begun, List.of());
+        receivers.forEach(receiver -> mesh.send(receiver, message));
     }
 
     /** Returns the entries that are told of this entry's streams, if possible of other failure domains. */
@@ -183,10 +204,10 @@
         return mesh.alive().stream().filter(member -> !member.id().equals(self)).toList();
     }
 
-    private void put(CallId callId, SoftwareVersion version) {
+    private void put(StreamId streamId, SoftwareVersion version) {
         removeExpired();
-        streams.remove(callId);
-        streams.put(callId, new Stream(version, clock.millis()));
+        streams.remove(streamId);
+        streams.put(streamId, new Stream(version, clock.millis()));
         if (streams.size() > MAX_STREAMS) {
             streams.remove(streams.keySet().iterator().next());
         }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
@@ -88,6 +88,7 @@
                 SELF,
                 "z1",
                 ADDRESS,
+                200,
                 ADDRESS,
                 "key",
                 Duration.ofSeconds(3),
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -108,6 +108,7 @@
                 SELF,
                 "z1",
                 ADDRESS,
+                200,
                 ADDRESS,
                 "key",
                 Duration.ofSeconds(3),
