Follow what replicas announce in their responses: a shutdown and a pause

Change: leaving is one state of a replica, set by its registration, a response to this entry or a message of another entry that got such a response, and lifted only by a registration as a new process. The decision log names the source. The planner still counts a paused replica as serving. Forwarder hands the expectation of loads to a class of its own.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -105,7 +105,9 @@
     REPLICA_LISTED(
             410, Logger.Level.INFO, "replica %s of service %s registered at %s, loaded models %s, local copies %s"),
     /** A replica started to drain and accepts no new calls. */
-    REPLICA_DRAINING(411, Logger.Level.INFO, "replica %s of service %s is draining"),
+    REPLICA_DRAINING(411, Logger.Level.INFO, "replica %s of service %s is draining, as told by its %s"),
+    /** A replica asked to get no requests for some time. */
+    REPLICA_PAUSED(416, Logger.Level.INFO, "replica %s rejected a call and gets none for %s ms"),
     /** The registration of a replica was removed. */
     REPLICA_REMOVED(412, Logger.Level.INFO, "replica %s is no longer registered"),
     /** A replica failed while it ran requests, or did not complete runs shortly before. */
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
@@ -8,10 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.SoftwareVersion;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.wire.WireAuthorityNotice;
 import org.tarragonring.peer.wire.WireBegunStream;
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -7,13 +7,13 @@
 import java.util.Optional;
 import java.util.Set;
 
-import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.ids.SoftwareVersion;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.routing.Suspect;
 
--- a/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
@@ -10,13 +10,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.ids.SoftwareVersion;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.routing.Suspect;
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.ReplicaClient;
 import org.tarragonring.gateway.catalog.CurrentReplicas;
+import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.follow.StoreWatcher;
 import org.tarragonring.gateway.forward.CallServer;
@@ -39,6 +40,7 @@
 import org.tarragonring.objects.RevisionedStore;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.peer.Member;
+import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.budget.RetryBudgets;
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.replica.ListedReplica;
@@ -91,6 +93,7 @@
     private final RevisionedStore store;
     private final Mesh mesh;
     private final ReplicaCatalog catalog;
+    private final LeavingReplicas leavingReplicas;
     private final StoreWatcher configWatcher;
     private final StoreWatcher replicaWatcher;
     private final OrderLeaseManager leaseManager;
@@ -133,6 +136,7 @@
         Ejections ejections = new Ejections(clocks.monotonic());
         this.mesh = new Mesh(settings, vertx, store, clocks.monotonic(), clocks.wall(), timers, random);
         this.catalog = new ReplicaCatalog(clocks.monotonic(), ejections);
+        this.leavingReplicas = new LeavingReplicas(catalog, mesh::broadcast);
         this.replicaClient = new MeteredReplicaClient(dependencies.replicaClient, metrics, clocks.monotonic());
         this.leaseManager = new OrderLeaseManager(
                 settings.id(),
@@ -183,11 +187,18 @@
                 replicaBatchDelay(settings.drainTime()),
                 object -> dependencies.replicaDecoder.apply(object).ifPresent(catalog::put),
                 this::onReplicaRemoved);
-        catalog.setListCurrent(replicaWatcher::isCurrent);
         this.configDecoder = dependencies.configDecoder;
+        connect();
         registerGauges(metrics);
     }
 
+    private void connect() {
+        catalog.setListCurrent(replicaWatcher::isCurrent);
+        mesh.on(PeerMessage.ReplicaLeaving.class, (from, notice) -> leavingReplicas.onNotice(notice));
+        replicaClient.onLeaving(replica ->
+                leavingReplicas.onResponse(replica.id(), replica.process().startMillis()));
+    }
+
     /**
      * Starts listening and watching the store. Starts nothing more once the shutdown has begun.
      *
@@ -318,6 +329,7 @@
                 streamVersions,
                 servingVersions,
                 this::runsKnownProcess,
+                leavingReplicas,
                 clocks.monotonic(),
                 timers,
                 random::nextDouble,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallCodec.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallCodec.java
@@ -58,6 +58,10 @@
      * @param belongsToCall whether the response is for the call that was sent
      * @param notRun whether the replica did not run the call and will not run it later
      * @param signed whether the response carries the replica's signature
+     * @param leaving whether the replica announces that it is about to shut down
+     * @param pause how long the replica, which turns the call away, wants to get nothing from this entry; empty if it does
+     *     not tell; not null
      */
-    record ResponseHead(boolean belongsToCall, boolean notRun, boolean signed) {}
+    record ResponseHead(
+            boolean belongsToCall, boolean notRun, boolean signed, boolean leaving, Optional<Duration> pause) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
@@ -5,8 +5,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.ModelName;
+import org.tarragonring.ids.StreamId;
 
 /**
  * The values parsed from the headers of a call.
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/ReplicaClient.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/ReplicaClient.java
@@ -1,5 +1,7 @@
 package org.tarragonring.gateway.call;
 
+import java.util.function.Consumer;
+
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.policy.replica.ListedReplica.Holdings;
@@ -11,6 +13,13 @@
  */
 public interface ReplicaClient {
 
+    /**
+     * Sets the receiver of announcements that a replica is about to shut down.
+     *
+     * @param listener receives the replica after each response that announces it, not null
+     */
+    void onLeaving(Consumer<ListedReplica> listener);
+
     /**
      * Queries the state of a replica.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -1,7 +1,9 @@
 package org.tarragonring.gateway.catalog;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -143,6 +145,9 @@
         if (known == null) {
             ReplicaState added = new ReplicaState(listed, clock);
             replicas.put(listed.id(), added);
+            if (added.isLeaving()) {
+                LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service(), "registration");
+            }
             LogEvent.REPLICA_LISTED.log(
                     listed.id(),
                     listed.service(),
@@ -150,21 +155,21 @@
                     added.residents().keySet(),
                     added.localCheckpoints());
         } else {
-            if (listed.draining() && !known.listed().draining()) {
-                LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service());
-            }
+            boolean wasLeaving = known.isLeaving();
             boolean restarted = listed.holdings().processStartMillis()
                     > known.listed().holdings().processStartMillis();
-            if (restarted && !known.listed().draining()) {
+            if (restarted && !wasLeaving) {
                 notifyFailureListeners(listed.id(), "it registered as a new process");
             }
-            boolean sameListing = listed.draining() == known.listed().draining()
-                    && listed.address().equals(known.listed().address())
+            boolean sameListing = listed.address().equals(known.listed().address())
                     && listed.service().equals(known.listed().service())
                     && !restarted;
             boolean sameState = !updateFromElsewhere(
                     known, "registration", () -> known.onListed(listed, !leaseHeldByThisEntry.test(listed.id())));
-            changed = !sameListing || !sameState;
+            if (known.isLeaving() && !wasLeaving) {
+                LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service(), "registration");
+            }
+            changed = !sameListing || !sameState || known.isLeaving() != wasLeaving;
         }
         // Most registrations are heartbeats, for which no waiting call need be looked at.
         if (changed) {
@@ -182,13 +187,31 @@
         if (removed != null) {
             onVersionSeen(removed.listed());
             LogEvent.REPLICA_REMOVED.log(id);
-            if (!removed.listed().draining()) {
+            if (!removed.isLeaving()) {
                 notifyFailureListeners(id, "its registration was removed");
             }
             notifyListeners();
         }
     }
 
+    /**
+     * Records that a replica is about to shut down, so that it gets no new calls and no loads.
+     *
+     * @param id the id of the replica, not null
+     * @param processStartMillis the start time of the process that has told so, in Unix milliseconds
+     * @param source how this became known, for the log; not null
+     * @return true if this was not known
+     */
+    public boolean markLeaving(UpstreamId id, long processStartMillis, String source) {
+        ReplicaState replica = replicas.get(id);
+        if (replica == null || !replica.onLeaving(processStartMillis)) {
+            return false;
+        }
+        LogEvent.REPLICA_DRAINING.log(id, replica.listed().service(), source);
+        notifyListeners();
+        return true;
+    }
+
     /**
      * Updates a replica from a notice of the holder of its order lease. Ignores notices of unknown replicas and of
      * those whose order lease this entry holds.
@@ -279,17 +302,41 @@
     }
 
     /**
-     * Returns the replicas of a service that may get calls.
+     * Returns the replicas of a service that serve.
      *
      * @param service the service, not null
-     * @return its replicas that are neither draining nor ejected
+     * @return its replicas that are neither leaving nor ejected, also those that get no calls for some time
      */
-    public List<ReplicaState> usable(ServiceName service) {
+    public List<ReplicaState> serving(ServiceName service) {
         return replicas.values().stream()
-                .filter(r -> r.listed().service().equals(service) && isUsable(r))
+                .filter(r -> r.listed().service().equals(service) && isServing(r))
                 .toList();
     }
 
+    /**
+     * Returns the replicas of a service that may get calls.
+     *
+     * @param service the service, not null
+     * @return its replicas that serve and have not asked for a pause
+     */
+    public List<ReplicaState> usable(ServiceName service) {
+        return serving(service).stream().filter(r -> r.pauseMillis() == 0).toList();
+    }
+
+    /**
+     * Returns how long no replica of a service may get calls, because all of them have asked for a pause.
+     *
+     * @param service the service, not null
+     * @return the shortest of the remaining times, empty if a replica may get calls or none serves
+     */
+    public Optional<Duration> pause(ServiceName service) {
+        return serving(service).stream()
+                .map(ReplicaState::pauseMillis)
+                .min(Comparator.naturalOrder())
+                .filter(millis -> millis > 0)
+                .map(Duration::ofMillis);
+    }
+
     /** Records that a replica of a version is or was listed until now. */
     private void onVersionSeen(ListedReplica listed) {
         versionsSeenMillis
@@ -304,7 +351,7 @@
      */
     public List<UpstreamId> ejected() {
         return replicas.keySet().stream()
-                .filter(id -> !replicas.get(id).listed().draining() && !ejections.isAvailable(id))
+                .filter(id -> !replicas.get(id).isLeaving() && !ejections.isAvailable(id))
                 .toList();
     }
 
@@ -324,12 +371,14 @@
      * Checks whether a replica may get calls now.
      *
      * @param replica the replica, not null
-     * @return false if it is no longer listed, is draining or is ejected
+     * @return false if it is no longer listed, is leaving, is ejected or has asked for a pause
      */
     public boolean isUsable(ReplicaState replica) {
-        return replicas.get(replica.id()) == replica
-                && !replica.listed().draining()
-                && ejections.isAvailable(replica.id());
+        return isServing(replica) && replica.pauseMillis() == 0;
+    }
+
+    private boolean isServing(ReplicaState replica) {
+        return replicas.get(replica.id()) == replica && !replica.isLeaving() && ejections.isAvailable(replica.id());
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -8,6 +8,7 @@
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.config.RouteKind;
@@ -147,13 +148,16 @@
     }
 
     private void onResponse(HttpClientResponse response) {
+        CallCodec.ResponseHead head =
+                context.codec.decodeResponse(response.statusCode(), response.headers(), exchange.head.id());
+        if (head.belongsToCall()) {
+            applyAnnouncements(head);
+        }
         if (ended || exchange.finished) {
             request.connection().close();
             end(true, false);
             return;
         }
-        CallCodec.ResponseHead head =
-                context.codec.decodeResponse(response.statusCode(), response.headers(), exchange.head.id());
         boolean isSuccess = response.statusCode() / 100 == 2;
         if (!head.belongsToCall()) {
             failed(Verdict.MAY_HAVE_RUN, "the response belongs to another call");
@@ -170,6 +174,17 @@
         }
     }
 
+    /** Applies what the replica tells of itself beside its response. */
+    private void applyAnnouncements(CallCodec.ResponseHead head) {
+        if (head.leaving()) {
+            context.leavingReplicas.onResponse(replica.id(), process.startMillis());
+        }
+        head.pause().filter(pause -> process.isSameAs(replica.process())).ifPresent(pause -> {
+            LogEvent.REPLICA_PAUSED.log(replica.id(), pause.toMillis());
+            replica.pauseFor(pause);
+        });
+    }
+
     private boolean mayRetry() {
         return !exchange.responseStarted
                 && exchange.route.isRetryable()
@@ -370,5 +385,6 @@
             CallDurationEstimator durationEstimator,
             ReplicaFailureMonitor failureMonitor,
             LocalResponses localResponses,
+            LeavingReplicas leavingReplicas,
             Listener listener) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -20,6 +20,7 @@
 import io.vertx.core.http.PoolOptions;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.CallHead;
+import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
@@ -127,6 +128,7 @@
                 context.timers,
                 callerConnections,
                 localResponses,
+                context.leavingReplicas,
                 new StreamResumption(
                         context.streamVersions, context.servingVersions, context.catalog, context.processCheck),
                 context.metrics);
@@ -335,6 +337,7 @@
      * @param streamVersions knows which software version began a stream, not null
      * @param servingVersions knows which software versions may have begun streams, not null
      * @param processCheck asks a replica whether it still runs the known process; never fails, not null
+     * @param leavingReplicas receives the announcements of replicas that are about to shut down, not null
      * @param clock the monotonic clock, not null
      * @param timers schedules timeouts and periodic reports, not null
      * @param random returns random numbers from 0 to 1, not null
@@ -351,6 +354,7 @@
             StreamVersions streamVersions,
             ServingVersions servingVersions,
             Function<ReplicaState, CompletableFuture<Boolean>> processCheck,
+            LeavingReplicas leavingReplicas,
             MonotonicClock clock,
             Timers timers,
             DoubleSupplier random,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -1,5 +1,6 @@
 package org.tarragonring.gateway.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +24,12 @@
 /** The state of one call from its arrival to its end, over all attempts. Not thread-safe. */
 final class Exchange {
 
+    /** The first backoff delay for a call that every replica rejected; it doubles with each further delay. */
+    private static final long MIN_BACKOFF_MILLIS = 40;
+
+    /** The longest backoff delay. A replica rejects calls while it executes an order, which takes at most seconds. */
+    private static final long MAX_BACKOFF_MILLIS = 640;
+
     final HttpServerRequest request;
     final CallHead head;
     final Route route;
@@ -51,7 +58,7 @@
 
     int rejections;
     /** The number of backoff delays so far; stops counting at the longest delay. */
-    int backoffs;
+    private int backoffs;
     /** Whether the request is quarantined and may run once, to find out whether it still makes replicas fail. */
     boolean quarantineTrial;
     /** Whether an attempt has reached a replica, so that the next attempt counts against the retry budget. */
@@ -101,6 +108,16 @@
         return fingerprint;
     }
 
+    /** Returns the delay after which a call that every replica rejected is sent again. */
+    Duration nextBackoff() {
+        long delayMillis = MIN_BACKOFF_MILLIS << backoffs;
+        if (delayMillis >= MAX_BACKOFF_MILLIS) {
+            return Duration.ofMillis(MAX_BACKOFF_MILLIS);
+        }
+        backoffs++;
+        return Duration.ofMillis(delayMillis);
+    }
+
     /** Records the process that sends the first event of the response. */
     void begunBy(ReplicaProcess process) {
         beginner = Optional.of(process);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -13,6 +13,7 @@
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
@@ -43,21 +44,9 @@
     /** The maximum number of rejections per call; the next one ends the call. */
     private static final int MAX_REJECTIONS = 8;
 
-    /** The first backoff delay for a call that every replica rejected; it doubles with each further delay. */
-    private static final long MIN_BACKOFF_MILLIS = 40;
-
-    /** The longest backoff delay. A replica rejects calls while it executes an order, which takes at most seconds. */
-    private static final long MAX_BACKOFF_MILLIS = 640;
-
     /** A call with less time left than this is refused instead of sent to a replica. */
     private static final long MIN_REMAINING_MILLIS = 15;
 
-    /** The fraction of the first-event timeout after which a waiting call is refused if no load is expected for it. */
-    private static final double LOAD_CHECK_FRACTION = 0.45;
-
-    /** The shortest time from the end of a model's load to the first event of a call. */
-    private static final long MIN_LOAD_TO_FIRST_EVENT_MILLIS = 100;
-
     /** Retry-After value when it is not known when a replica will be free. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
@@ -73,6 +62,7 @@
     private final CallerConnections callerConnections;
     private final LocalResponses localResponses;
     private final WaitingCalls waiting = new WaitingCalls();
+    private final LoadExpectation loadExpectation;
     private final StreamResumption resumption;
     private final GatewayMetrics metrics;
     private final CallDurationEstimator durationEstimator;
@@ -96,6 +86,7 @@
      * @param timers schedules timeouts and backoff delays, not null
      * @param callerConnections reports callers that disconnect, not null
      * @param localResponses writes the responses that this entry generates itself, not null
+     * @param leavingReplicas receives the announcements of replicas that are about to shut down, not null
      * @param resumption keeps streams at the software version that began them, not null
      * @param metrics records metrics of calls, not null
      */
@@ -111,6 +102,7 @@
             Timers timers,
             CallerConnections callerConnections,
             LocalResponses localResponses,
+            LeavingReplicas leavingReplicas,
             StreamResumption resumption,
             GatewayMetrics metrics) {
         this.codec = Objects.requireNonNull(codec, "codec");
@@ -127,8 +119,16 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.durationEstimator = new CallDurationEstimator(clock);
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
-        this.context =
-                new Attempt.Context(codec, ejections, clock, durationEstimator, failureMonitor, localResponses, this);
+        this.loadExpectation = new LoadExpectation(catalog, clock);
+        this.context = new Attempt.Context(
+                codec,
+                ejections,
+                clock,
+                durationEstimator,
+                failureMonitor,
+                localResponses,
+                Objects.requireNonNull(leavingReplicas, "leavingReplicas"),
+                this);
     }
 
     /** Sets the action that runs each time a call starts to wait. */
@@ -214,11 +214,6 @@
         if (endIfQuarantined(exchange)) {
             return;
         }
-        if (exchange.software.isPresent()
-                && catalog.usable(exchange.service).stream().noneMatch(exchange::isContinuedBy)) {
-            refuse(exchange, "no replica of software version %s is available".formatted(exchange.software.get()));
-            return;
-        }
         List<ReplicaState> able = exchange.weights.isPresent()
                 ? catalog.ableToRun(exchange.weights.get())
                 : catalog.usable(exchange.service);
@@ -232,21 +227,28 @@
             send(exchange, picked.get());
         } else if (!eligible.isEmpty()) {
             exchange.failedReplicas.clear();
-            timers.schedule(backoffDelay(exchange), () -> dispatch(exchange));
-        } else if (exchange.weights.isPresent()) {
-            startWaiting(exchange);
+            timers.schedule(exchange.nextBackoff(), () -> dispatch(exchange));
         } else {
-            refuse(exchange, "no available replica of service %s".formatted(exchange.service));
+            waitOrRefuse(exchange);
         }
     }
 
-    private static Duration backoffDelay(Exchange exchange) {
-        long delayMillis = MIN_BACKOFF_MILLIS << exchange.backoffs;
-        if (delayMillis >= MAX_BACKOFF_MILLIS) {
-            return Duration.ofMillis(MAX_BACKOFF_MILLIS);
+    /** Lets a call wait for a replica that can run it, or refuses it if it is known that none will be able to. */
+    private void waitOrRefuse(Exchange exchange) {
+        Optional<Duration> pause = catalog.pause(exchange.service);
+        if (pause.isPresent()) {
+            refuse(
+                    exchange,
+                    "all replicas of the service ask for a pause",
+                    pause.get().toMillis());
+        } else if (exchange.hasBegun()
+                && catalog.usable(exchange.service).stream().noneMatch(exchange::isContinuedBy)) {
+            refuse(exchange, "no replica that can continue the stream is available");
+        } else if (exchange.weights.isPresent()) {
+            startWaiting(exchange);
+        } else {
+            refuse(exchange, "no available replica of service %s".formatted(exchange.service));
         }
-        exchange.backoffs++;
-        return Duration.ofMillis(delayMillis);
     }
 
     /**
@@ -272,10 +274,7 @@
         waiting.add(exchange);
         if (!exchange.loadCheckScheduled) {
             exchange.loadCheckScheduled = true;
-            long firstEventTimeoutMillis = exchange.firstEventDeadlineMillis - exchange.arrivalMillis;
-            long checkAtMillis = exchange.arrivalMillis + (long) (firstEventTimeoutMillis * LOAD_CHECK_FRACTION);
-            timers.schedule(
-                    Duration.ofMillis(checkAtMillis - clock.millis()), () -> refuseUnlessLoadExpected(exchange));
+            timers.schedule(loadExpectation.checkDelay(exchange), () -> refuseUnlessLoadExpected(exchange));
         }
         WeightKey key = exchange.weights.orElseThrow();
         LogEvent.CALL_WAITING.logForCall(
@@ -287,23 +286,10 @@
         onWaiting.run();
     }
 
-    /**
-     * Refuses a waiting call if no replica holds its model or will have loaded it in time. The refusal comes early
-     * enough for the caller to retry; a caller that is held until its timeout does not retry. An adapter whose model is
-     * resident is loaded soon, so a call that needs one keeps waiting.
-     */
     private void refuseUnlessLoadExpected(Exchange exchange) {
-        if (exchange.finished || exchange.responseStarted || !waiting.contains(exchange)) {
-            return;
-        }
-        WeightKey key = exchange.weights.orElseThrow();
-        long latestLoadEndMillis = exchange.firstEventDeadlineMillis - MIN_LOAD_TO_FIRST_EVENT_MILLIS;
-        boolean isLoadExpected = catalog.usable(key.service()).stream()
-                .filter(exchange::isContinuedBy)
-                .anyMatch(replica -> replica.holds(key.model(), "")
-                        || replica.loading().equals(Optional.of(key.model()))
-                                && replica.expectedLoadEndMillis() <= latestLoadEndMillis);
-        if (!isLoadExpected) {
+        boolean isWaiting = !exchange.finished && !exchange.responseStarted && waiting.contains(exchange);
+        if (isWaiting && !loadExpectation.isLoadExpected(exchange)) {
+            WeightKey key = exchange.weights.orElseThrow();
             refuse(exchange, "no load in progress for model %s %s".formatted(key.model(), key.adapter()));
         }
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/MeteredReplicaClient.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/MeteredReplicaClient.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.gateway.call.Order;
@@ -35,6 +36,11 @@
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
+    @Override
+    public void onLeaving(Consumer<ListedReplica> listener) {
+        client.onLeaving(listener);
+    }
+
     @Override
     public Uni<Report> report(ListedReplica replica) {
         long startMillis = clock.millis();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -160,7 +160,7 @@
 
     private void plan(ServiceName service, EngineSpec engine) {
         Map<UpstreamId, Map<ModelName, RunningCalls>> running = demandAggregator.runningCalls();
-        List<ReplicaSnapshot> snapshots = catalog.usable(service).stream()
+        List<ReplicaSnapshot> snapshots = catalog.serving(service).stream()
                 .filter(replica -> !demandAggregator.isUnreachable(replica.id()))
                 .map(replica -> toSnapshot(replica, running.getOrDefault(replica.id(), Map.of())))
                 .toList();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/StreamVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/StreamVersions.java
@@ -13,9 +13,9 @@
 
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.home.Rendezvous;
-import org.tarragonring.ids.StreamId;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.SoftwareVersion;
+import org.tarragonring.ids.StreamId;
 import org.tarragonring.peer.Member;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.time.MonotonicClock;
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 import org.junit.jupiter.api.BeforeEach;
@@ -262,6 +263,9 @@
             busyUntilMillis = nowMillis + millis;
         }
 
+        @Override
+        public void onLeaving(Consumer<ListedReplica> listener) {}
+
         @Override
         public Uni<Report> report(ListedReplica listed) {
             finishOrders();
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
@@ -121,6 +122,9 @@
 
     private static final class UnusedReplicaClient implements ReplicaClient {
 
+        @Override
+        public void onLeaving(Consumer<ListedReplica> listener) {}
+
         @Override
         public Uni<Report> report(ListedReplica replica) {
             return Uni.createFrom().nothing();
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -1,5 +1,6 @@
 package org.tarragonring.policy.replica;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -50,6 +51,12 @@
     private Optional<ModelName> unloading = Optional.empty();
     private long expectedLoadEndMillis;
     private int totalInFlight;
+    private boolean leaving;
+
+    /** The start of the process that is about to shut down, if the replica is leaving. */
+    private long leavingStartMillis;
+
+    private long pausedUntilMillis;
 
     /**
      * Creates the state of a newly listed replica.
@@ -62,6 +69,7 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.lastOrderUpdateMillis = clock.millis() - MAX_LIST_LAG_MILLIS;
         restart(listed.process(), listed.holdings());
+        updateLeaving(listed);
     }
 
     /**
@@ -76,6 +84,7 @@
         listed = update;
         Holdings holdings = update.holdings();
         ReplicaProcess listedProcess = update.process();
+        updateLeaving(update);
         if (listedProcess.isNewerThan(process)) {
             restart(listedProcess, holdings);
             return;
@@ -92,6 +101,59 @@
         }
     }
 
+    /** A replica that is leaving stays so until it registers as a new process. */
+    private void updateLeaving(ListedReplica update) {
+        long startMillis = update.holdings().processStartMillis();
+        if (update.draining()) {
+            onLeaving(startMillis);
+        } else if (leaving && startMillis > leavingStartMillis) {
+            leaving = false;
+        }
+    }
+
+    /**
+     * Records that the replica is about to shut down and must get no new calls. Only a registration as a new process ends
+     * this.
+     *
+     * @param startMillis the start time of the process that is about to shut down, in Unix milliseconds
+     * @return true if this was not known; false also if the replica has started again since
+     */
+    public boolean onLeaving(long startMillis) {
+        if (leaving || startMillis < process.startMillis()) {
+            return false;
+        }
+        leaving = true;
+        leavingStartMillis = startMillis;
+        return true;
+    }
+
+    /**
+     * Checks if the replica is about to shut down.
+     *
+     * @return true if it has told so, in its registration or in a response
+     */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /**
+     * Records that the replica has asked this entry to send it nothing for some time.
+     *
+     * @param time the time, not null
+     */
+    public void pauseFor(Duration time) {
+        pausedUntilMillis = Math.max(pausedUntilMillis, clock.millis() + time.toMillis());
+    }
+
+    /**
+     * Returns how long the replica wants to get nothing from this entry.
+     *
+     * @return the remaining time in milliseconds, 0 if there is none
+     */
+    public long pauseMillis() {
+        return Math.max(0, pausedUntilMillis - clock.millis());
+    }
+
     /**
      * Merges a report of the replica that may have been created while an order was in progress. If its order count is
      * higher than the known one, its resident models replace the known ones; if lower, they are ignored. If the count
@@ -185,6 +247,9 @@
         if (newAcceptedOrders > acceptedOrders || !isSameProcess) {
             unavailableUntilMillis.clear();
         }
+        if (!isSameProcess) {
+            pausedUntilMillis = clock.millis();
+        }
         process = isSameProcess ? process.mergedWith(newProcess) : newProcess;
         acceptedOrders = newAcceptedOrders;
         unloading =
@@ -397,6 +462,7 @@
 
     private void restart(ReplicaProcess newProcess, Holdings holdings) {
         process = newProcess;
+        pausedUntilMillis = clock.millis();
         acceptedOrders = holdings.acceptedOrders();
         unavailableUntilMillis.clear();
         residents.clear();
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -1,5 +1,6 @@
 package org.tarragonring.policy.replica;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -187,6 +188,35 @@
         assertTrue(state.canRun(BUSY, "a1"));
     }
 
+    @Test
+    void leavingReplicaStaysSoUntilItRegistersAsANewProcess() {
+        assertTrue(state.onLeaving(PROCESS_START_MILLIS));
+        assertFalse(state.onLeaving(PROCESS_START_MILLIS), "told twice");
+
+        state.onListed(listed(PROCESS_START_MILLIS, Set.of()), true);
+        assertTrue(state.isLeaving());
+        state.mergeHoldings(holdings(PROCESS_START_MILLIS + 1, 0, Set.of()));
+        assertTrue(state.isLeaving());
+
+        state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), true);
+        assertFalse(state.isLeaving());
+        assertFalse(state.onLeaving(PROCESS_START_MILLIS), "told by the process before");
+    }
+
+    @Test
+    void pauseEndsAfterItsTimeOrWithTheProcess() {
+        state.pauseFor(Duration.ofSeconds(2));
+        state.pauseFor(Duration.ofSeconds(1));
+        nowMillis += 1_500;
+        assertEquals(500, state.pauseMillis());
+        nowMillis += 500;
+        assertEquals(0, state.pauseMillis());
+
+        state.pauseFor(Duration.ofDays(1));
+        state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), true);
+        assertEquals(0, state.pauseMillis());
+    }
+
     @Test
     void softwareIsThatOfTheRegisteredProcess() {
         assertEquals(SOFTWARE, state.process().software());
