Keep in a class of its own whether a replica wants calls

Change: ReplicaAvailability holds whether a replica is leaving or paused.

Measured: ReplicaStateTest and ReplicaAnnouncementTest as before.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -145,7 +145,7 @@
         if (known == null) {
             ReplicaState added = new ReplicaState(listed, clock);
             replicas.put(listed.id(), added);
-            if (added.isLeaving()) {
+            if (added.availability().isLeaving()) {
                 LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service(), "registration");
             }
             LogEvent.REPLICA_LISTED.log(
@@ -155,7 +155,7 @@
                     added.residents().keySet(),
                     added.localCheckpoints());
         } else {
-            boolean wasLeaving = known.isLeaving();
+            boolean wasLeaving = known.availability().isLeaving();
             boolean restarted = listed.holdings().processStartMillis()
                     > known.listed().holdings().processStartMillis();
             if (restarted && !wasLeaving) {
@@ -166,10 +166,10 @@
                     && !restarted;
             boolean sameState = !updateFromElsewhere(
                     known, "registration", () -> known.onListed(listed, !leaseHeldByThisEntry.test(listed.id())));
-            if (known.isLeaving() && !wasLeaving) {
+            if (known.availability().isLeaving() && !wasLeaving) {
                 LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service(), "registration");
             }
-            changed = !sameListing || !sameState || known.isLeaving() != wasLeaving;
+            changed = !sameListing || !sameState || known.availability().isLeaving() != wasLeaving;
         }
         // Most registrations are heartbeats, for which no waiting call need be looked at.
         if (changed) {
@@ -187,7 +187,7 @@
         if (removed != null) {
             onVersionSeen(removed.listed());
             LogEvent.REPLICA_REMOVED.log(id);
-            if (!removed.isLeaving()) {
+            if (!removed.availability().isLeaving()) {
                 notifyFailureListeners(id, "its registration was removed");
             }
             notifyListeners();
@@ -204,7 +204,7 @@
      */
     public boolean markLeaving(UpstreamId id, long processStartMillis, String source) {
         ReplicaState replica = replicas.get(id);
-        if (replica == null || !replica.onLeaving(processStartMillis)) {
+        if (replica == null || !replica.availability().onLeaving(processStartMillis)) {
             return false;
         }
         LogEvent.REPLICA_DRAINING.log(id, replica.listed().service(), source);
@@ -320,7 +320,9 @@
      * @return its replicas that serve and have not asked for a pause
      */
     public List<ReplicaState> usable(ServiceName service) {
-        return serving(service).stream().filter(r -> r.pauseMillis() == 0).toList();
+        return serving(service).stream()
+                .filter(r -> r.availability().pauseMillis() == 0)
+                .toList();
     }
 
     /**
@@ -331,7 +333,7 @@
      */
     public Optional<Duration> pause(ServiceName service) {
         return serving(service).stream()
-                .map(ReplicaState::pauseMillis)
+                .map(replica -> replica.availability().pauseMillis())
                 .min(Comparator.naturalOrder())
                 .filter(millis -> millis > 0)
                 .map(Duration::ofMillis);
@@ -351,7 +353,7 @@
      */
     public List<UpstreamId> ejected() {
         return replicas.keySet().stream()
-                .filter(id -> !replicas.get(id).isLeaving() && !ejections.isAvailable(id))
+                .filter(id -> !replicas.get(id).availability().isLeaving() && !ejections.isAvailable(id))
                 .toList();
     }
 
@@ -374,11 +376,13 @@
      * @return false if it is no longer listed, is leaving, is ejected or has asked for a pause
      */
     public boolean isUsable(ReplicaState replica) {
-        return isServing(replica) && replica.pauseMillis() == 0;
+        return isServing(replica) && replica.availability().pauseMillis() == 0;
     }
 
     private boolean isServing(ReplicaState replica) {
-        return replicas.get(replica.id()) == replica && !replica.isLeaving() && ejections.isAvailable(replica.id());
+        return replicas.get(replica.id()) == replica
+                && !replica.availability().isLeaving()
+                && ejections.isAvailable(replica.id());
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -181,7 +181,7 @@
         }
         head.pause().filter(pause -> process.isSameAs(replica.process())).ifPresent(pause -> {
             LogEvent.REPLICA_PAUSED.log(replica.id(), pause.toMillis());
-            replica.pauseFor(pause);
+            replica.availability().pauseFor(pause);
         });
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
@@ -49,7 +49,7 @@
         long latestMillis = exchange.firstEventDeadlineMillis - MIN_LOAD_TO_FIRST_EVENT_MILLIS;
         return catalog.serving(key.service()).stream()
                 .filter(exchange::isContinuedBy)
-                .filter(replica -> clock.millis() + replica.pauseMillis() <= latestMillis)
+                .filter(replica -> clock.millis() + replica.availability().pauseMillis() <= latestMillis)
                 .anyMatch(replica -> replica.holds(key.model(), "") || isLoadedBy(replica, key, latestMillis));
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaFailureMonitor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaFailureMonitor.java
@@ -70,7 +70,7 @@
 
     /** Checks whether a replica that broke off a run still accepts connections. */
     void checkConnection(ReplicaState replica) {
-        if (!replica.isLeaving()) {
+        if (!replica.availability().isLeaving()) {
             connectTo(replica, () -> timers.schedule(SECOND_CHECK_DELAY, () -> connectTo(replica, () -> {})));
         }
     }
--- /dev/null
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaAvailability.java
@@ -0,0 +1,89 @@
+package org.tarragonring.policy.replica;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import org.tarragonring.time.MonotonicClock;
+
+/**
+ * Whether a replica wants new calls: it may be about to shut down, or have asked this entry for a pause.
+ *
+ * <p>Not thread-safe.
+ *
+ * @since 0.2.0
+ */
+public final class ReplicaAvailability {
+
+    private final MonotonicClock clock;
+    private boolean leaving;
+
+    /** The start of the process that is about to shut down, if the replica is leaving. */
+    private long leavingStartMillis;
+
+    private long newestStartMillis = Long.MIN_VALUE;
+    private long pausedUntilMillis;
+
+    ReplicaAvailability(MonotonicClock clock) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.pausedUntilMillis = clock.millis();
+    }
+
+    /** Applies a registration. A replica that is leaving stays so until it registers as a new process. */
+    void onListed(ListedReplica update) {
+        long startMillis = update.holdings().processStartMillis();
+        if (update.draining()) {
+            onLeaving(startMillis);
+        } else if (leaving && startMillis > leavingStartMillis) {
+            leaving = false;
+        }
+    }
+
+    /** Ends a pause that the process before has asked for. */
+    void onNewProcess(ReplicaProcess process) {
+        newestStartMillis = process.startMillis();
+        pausedUntilMillis = clock.millis();
+    }
+
+    /**
+     * Records that the replica is about to shut down and must get no new calls. Only a registration as a new process ends
+     * this.
+     *
+     * @param startMillis the start time of the process that is about to shut down, in Unix milliseconds
+     * @return true if this was not known; false also if the replica has started again since
+     */
+    public boolean onLeaving(long startMillis) {
+        if (leaving || startMillis < newestStartMillis) {
+            return false;
+        }
+        leaving = true;
+        leavingStartMillis = startMillis;
+        return true;
+    }
+
+    /**
+     * Checks if the replica is about to shut down.
+     *
+     * @return true if it has told so, in its registration or in a response
+     */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /**
+     * Records that the replica has asked this entry to send it nothing for some time.
+     *
+     * @param time the time, not null
+     */
+    public void pauseFor(Duration time) {
+        pausedUntilMillis = Math.max(pausedUntilMillis, clock.millis() + time.toMillis());
+    }
+
+    /**
+     * Returns how long the replica wants to get nothing from this entry.
+     *
+     * @return the remaining time in milliseconds, 0 if there is none
+     */
+    public long pauseMillis() {
+        return Math.max(0, pausedUntilMillis - clock.millis());
+    }
+}
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -1,6 +1,5 @@
 package org.tarragonring.policy.replica;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -38,6 +37,7 @@
     static final long MAX_LOAD_OVERDUE_MILLIS = 1_000;
 
     private final MonotonicClock clock;
+    private final ReplicaAvailability availability;
     private ListedReplica listed;
     private ReplicaProcess process;
     private long acceptedOrders = Holdings.UNKNOWN_ORDER_COUNT;
@@ -51,12 +51,6 @@
     private Optional<ModelName> unloading = Optional.empty();
     private long expectedLoadEndMillis;
     private int totalInFlight;
-    private boolean leaving;
-
-    /** The start of the process that is about to shut down, if the replica is leaving. */
-    private long leavingStartMillis;
-
-    private long pausedUntilMillis;
 
     /**
      * Creates the state of a newly listed replica.
@@ -68,8 +62,9 @@
         this.listed = Objects.requireNonNull(listed, "listed");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.lastOrderUpdateMillis = clock.millis() - MAX_LIST_LAG_MILLIS;
+        this.availability = new ReplicaAvailability(clock);
         restart(listed.process(), listed.holdings());
-        updateLeaving(listed);
+        availability.onListed(listed);
     }
 
     /**
@@ -84,7 +79,7 @@
         listed = update;
         Holdings holdings = update.holdings();
         ReplicaProcess listedProcess = update.process();
-        updateLeaving(update);
+        availability.onListed(update);
         if (listedProcess.isNewerThan(process)) {
             restart(listedProcess, holdings);
             return;
@@ -101,59 +96,6 @@
         }
     }
 
-    /** A replica that is leaving stays so until it registers as a new process. */
-    private void updateLeaving(ListedReplica update) {
-        long startMillis = update.holdings().processStartMillis();
-        if (update.draining()) {
-            onLeaving(startMillis);
-        } else if (leaving && startMillis > leavingStartMillis) {
-            leaving = false;
-        }
-    }
-
-    /**
-     * Records that the replica is about to shut down and must get no new calls. Only a registration as a new process ends
-     * this.
-     *
-     * @param startMillis the start time of the process that is about to shut down, in Unix milliseconds
-     * @return true if this was not known; false also if the replica has started again since
-     */
-    public boolean onLeaving(long startMillis) {
-        if (leaving || startMillis < process.startMillis()) {
-            return false;
-        }
-        leaving = true;
-        leavingStartMillis = startMillis;
-        return true;
-    }
-
-    /**
-     * Checks if the replica is about to shut down.
-     *
-     * @return true if it has told so, in its registration or in a response
-     */
-    public boolean isLeaving() {
-        return leaving;
-    }
-
-    /**
-     * Records that the replica has asked this entry to send it nothing for some time.
-     *
-     * @param time the time, not null
-     */
-    public void pauseFor(Duration time) {
-        pausedUntilMillis = Math.max(pausedUntilMillis, clock.millis() + time.toMillis());
-    }
-
-    /**
-     * Returns how long the replica wants to get nothing from this entry.
-     *
-     * @return the remaining time in milliseconds, 0 if there is none
-     */
-    public long pauseMillis() {
-        return Math.max(0, pausedUntilMillis - clock.millis());
-    }
-
     /**
      * Merges a report of the replica that may have been created while an order was in progress. If its order count is
      * higher than the known one, its resident models replace the known ones; if lower, they are ignored. If the count
@@ -248,7 +190,7 @@
             unavailableUntilMillis.clear();
         }
         if (!isSameProcess) {
-            pausedUntilMillis = clock.millis();
+            availability.onNewProcess(newProcess);
         }
         process = isSameProcess ? process.mergedWith(newProcess) : newProcess;
         acceptedOrders = newAcceptedOrders;
@@ -329,6 +271,15 @@
         return listed.id();
     }
 
+    /**
+     * Returns whether the replica wants new calls.
+     *
+     * @return the availability, never null
+     */
+    public ReplicaAvailability availability() {
+        return availability;
+    }
+
     /**
      * Returns the latest registration of the replica.
      *
@@ -462,7 +413,7 @@
 
     private void restart(ReplicaProcess newProcess, Holdings holdings) {
         process = newProcess;
-        pausedUntilMillis = clock.millis();
+        availability.onNewProcess(newProcess);
         acceptedOrders = holdings.acceptedOrders();
         unavailableUntilMillis.clear();
         residents.clear();
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -190,31 +190,31 @@
 
     @Test
     void leavingReplicaStaysSoUntilItRegistersAsANewProcess() {
-        assertTrue(state.onLeaving(PROCESS_START_MILLIS));
-        assertFalse(state.onLeaving(PROCESS_START_MILLIS), "told twice");
+        assertTrue(state.availability().onLeaving(PROCESS_START_MILLIS));
+        assertFalse(state.availability().onLeaving(PROCESS_START_MILLIS), "told twice");
 
         state.onListed(listed(PROCESS_START_MILLIS, Set.of()), true);
-        assertTrue(state.isLeaving());
+        assertTrue(state.availability().isLeaving());
         state.mergeHoldings(holdings(PROCESS_START_MILLIS + 1, 0, Set.of()));
-        assertTrue(state.isLeaving());
+        assertTrue(state.availability().isLeaving());
 
         state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), true);
-        assertFalse(state.isLeaving());
-        assertFalse(state.onLeaving(PROCESS_START_MILLIS), "told by the process before");
+        assertFalse(state.availability().isLeaving());
+        assertFalse(state.availability().onLeaving(PROCESS_START_MILLIS), "told by the process before");
     }
 
     @Test
     void pauseEndsAfterItsTimeOrWithTheProcess() {
-        state.pauseFor(Duration.ofSeconds(2));
-        state.pauseFor(Duration.ofSeconds(1));
+        state.availability().pauseFor(Duration.ofSeconds(2));
+        state.availability().pauseFor(Duration.ofSeconds(1));
         nowMillis += 1_500;
-        assertEquals(500, state.pauseMillis());
+        assertEquals(500, state.availability().pauseMillis());
         nowMillis += 500;
-        assertEquals(0, state.pauseMillis());
+        assertEquals(0, state.availability().pauseMillis());
 
-        state.pauseFor(Duration.ofDays(1));
+        state.availability().pauseFor(Duration.ofDays(1));
         state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), true);
-        assertEquals(0, state.pauseMillis());
+        assertEquals(0, state.availability().pauseMillis());
     }
 
     @Test
