--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -15,7 +15,6 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Vertx;
 import org.tarragonring.entry.Clocks;
-import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.ReplicaClient;
 import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
@@ -43,7 +42,6 @@
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.budget.RetryBudgets;
 import org.tarragonring.policy.config.ServingConfig;
-import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.service.ShutdownSequence;
@@ -123,7 +121,7 @@
      */
     public Gateway(
             GatewaySettings settings,
-            Dependencies dependencies,
+            GatewayDependencies dependencies,
             Vertx vertx,
             Clocks clocks,
             Random random,
@@ -132,20 +130,13 @@
         this.clocks = Objects.requireNonNull(clocks, "clocks");
         this.timers = new VertxTimers(vertx);
         GatewayMetrics metrics = new GatewayMetrics(registry);
-        this.store = new MeteredStore(dependencies.store, metrics, clocks.monotonic());
+        this.store = new MeteredStore(dependencies.store(), metrics, clocks.monotonic());
         Ejections ejections = new Ejections(clocks.monotonic());
         this.mesh = new Mesh(settings, vertx, store, clocks.monotonic(), clocks.wall(), timers, random);
         this.catalog = new ReplicaCatalog(clocks.monotonic(), ejections);
         this.leavingReplicas = new LeavingReplicas(catalog, mesh::broadcast);
-        this.replicaClient = new MeteredReplicaClient(dependencies.replicaClient, metrics, clocks.monotonic());
-        this.leaseManager = new OrderLeaseManager(
-                settings.id(),
-                mesh,
-                createLeases(settings),
-                settings.handoverDelay(),
-                this::isStoreReachable,
-                clocks.monotonic(),
-                timers);
+        this.replicaClient = new MeteredReplicaClient(dependencies.replicaClient(), metrics, clocks.monotonic());
+        this.leaseManager = createLeaseManager();
         this.loadRouter = new LoadRequestRouter(
                 settings.id(),
                 leaseManager,
@@ -165,7 +156,7 @@
                 this::config,
                 clocks.monotonic(),
                 timers);
-        Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout);
+        Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout());
         this.quarantine = new RequestQuarantine(
                 settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
         this.streamVersions =
@@ -180,14 +171,14 @@
                 quarantine,
                 loadRouter);
         this.configWatcher =
-                createWatcher(dependencies.configPrefix, watchTimeout, Duration.ZERO, this::onConfig, key -> {});
+                createWatcher(dependencies.configPrefix(), watchTimeout, Duration.ZERO, this::onConfig, key -> {});
         this.replicaWatcher = createWatcher(
-                dependencies.replicaPrefix,
+                dependencies.replicaPrefix(),
                 watchTimeout,
                 replicaBatchDelay(settings.drainTime()),
-                object -> dependencies.replicaDecoder.apply(object).ifPresent(catalog::put),
+                object -> dependencies.replicaDecoder().apply(object).ifPresent(catalog::put),
                 this::onReplicaRemoved);
-        this.configDecoder = dependencies.configDecoder;
+        this.configDecoder = dependencies.configDecoder();
         connect();
         registerGauges(metrics);
     }
@@ -317,12 +308,12 @@
     }
 
     private CallServer.Context callContext(
-            Vertx vertx, Dependencies dependencies, Ejections ejections, Random random, GatewayMetrics metrics) {
+            Vertx vertx, GatewayDependencies dependencies, Ejections ejections, Random random, GatewayMetrics metrics) {
         return new CallServer.Context(
                 vertx,
                 settings.callerAddress(),
                 settings.failureDomain(),
-                dependencies.callCodec,
+                dependencies.callCodec(),
                 catalog,
                 ejections,
                 mesh,
@@ -336,11 +327,11 @@
                 metrics);
     }
 
-    private ServingVersions createServingVersions(Dependencies dependencies) {
+    private ServingVersions createServingVersions(GatewayDependencies dependencies) {
         return new ServingVersions(
                 store,
                 catalog,
-                new CurrentReplicas(store, dependencies.replicaPrefix, dependencies.replicaDecoder),
+                new CurrentReplicas(store, dependencies.replicaPrefix(), dependencies.replicaDecoder()),
                 () -> mesh.entryFor(ServingVersions.DUTY).equals(settings.id()),
                 () -> config.map(ServingConfig::longestStreamTimeout)
                         .orElse(Duration.ZERO)
@@ -434,7 +425,18 @@
         UpstreamId.parse(key.substring(key.indexOf('/') + 1)).ifPresent(catalog::remove);
     }
 
-    private List<GroupLease> createLeases(GatewaySettings settings) {
+    private OrderLeaseManager createLeaseManager() {
+        return new OrderLeaseManager(
+                settings.id(),
+                mesh,
+                createLeases(),
+                settings.handoverDelay(),
+                this::isStoreReachable,
+                clocks.monotonic(),
+                timers);
+    }
+
+    private List<GroupLease> createLeases() {
         List<GroupLease> leases = new ArrayList<>();
         for (int group = 0; group < OrderGroups.GROUP_COUNT; group++) {
             leases.add(new GroupLease(
@@ -479,27 +481,4 @@
         return new StoreWatcher(
                 prefix, watchTimeout, batchDelay, store, clocks.monotonic(), timers, onChanged, onDeleted);
     }
-
-    /**
-     * The external systems that a gateway uses, and the decoders of their data.
-     *
-     * @param store the store for persistent and shared data, not null
-     * @param storeTimeout how long a request to the store waits for its response, for a watch from the end of the time
-     *     for which the store holds it; not null
-     * @param callCodec reads and writes the headers of calls, not null
-     * @param replicaClient queries replicas and sends them orders, not null
-     * @param configPrefix the prefix of the store keys of the configuration, not null
-     * @param configDecoder decodes a configuration; returns empty for other or invalid objects; not null
-     * @param replicaPrefix the prefix of the store keys of the replica registrations, not null
-     * @param replicaDecoder decodes a replica registration; returns empty for invalid objects; not null
-     */
-    public record Dependencies(
-            RevisionedStore store,
-            Duration storeTimeout,
-            CallCodec callCodec,
-            ReplicaClient replicaClient,
-            String configPrefix,
-            Function<StoredObject, Optional<ServingConfig>> configDecoder,
-            String replicaPrefix,
-            Function<StoredObject, Optional<ListedReplica>> replicaDecoder) {}
 }
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewayDependencies.java
@@ -0,0 +1,36 @@
+package org.tarragonring.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.tarragonring.gateway.call.CallCodec;
+import org.tarragonring.gateway.call.ReplicaClient;
+import org.tarragonring.objects.RevisionedStore;
+import org.tarragonring.objects.StoredObject;
+import org.tarragonring.policy.config.ServingConfig;
+import org.tarragonring.policy.replica.ListedReplica;
+
+/**
+ * The external systems that a gateway uses, and the decoders of their data.
+ *
+ * @param store the store for persistent and shared data, not null
+ * @param storeTimeout how long a request to the store waits for its response, for a watch from the end of the time
+ *     for which the store holds it; not null
+ * @param callCodec reads and writes the headers of calls, not null
+ * @param replicaClient queries replicas and sends them orders, not null
+ * @param configPrefix the prefix of the store keys of the configuration, not null
+ * @param configDecoder decodes a configuration; returns empty for other or invalid objects; not null
+ * @param replicaPrefix the prefix of the store keys of the replica registrations, not null
+ * @param replicaDecoder decodes a replica registration; returns empty for invalid objects; not null
+ * @since 0.2.0
+ */
+public record GatewayDependencies(
+        RevisionedStore store,
+        Duration storeTimeout,
+        CallCodec callCodec,
+        ReplicaClient replicaClient,
+        String configPrefix,
+        Function<StoredObject, Optional<ServingConfig>> configDecoder,
+        String replicaPrefix,
+        Function<StoredObject, Optional<ListedReplica>> replicaDecoder) {}
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
@@ -196,7 +196,12 @@
             }
             ModelSpec spec = engine.models().get(request.model());
             Duration expected = spec.loadTime(replica.nearestTier(spec.name()));
-            return executeOrder(replica, true, request.model(), "", () -> hasRoomFor(replica, request.model(), engine))
+            return executeOrder(
+                            replica,
+                            true,
+                            request.model(),
+                            "",
+                            () -> ReplicaCapacity.hasRoomForModel(replica, request.model(), engine))
                     .flatMap(accepted -> accepted ? awaitLoad(replica, spec, expected) : completed(false));
         });
     }
@@ -207,21 +212,19 @@
             return completed(true);
         }
         Uni<Boolean> roomMade =
-                adapterCount(replica) < engine.maxAdapters() ? completed(true) : unloadOldestAdapter(replica);
+                ReplicaCapacity.hasFreeAdapterPlace(replica, engine) ? completed(true) : unloadOldestAdapter(replica);
         return roomMade.flatMap(ok -> ok
                 ? executeOrder(
                         replica,
                         true,
                         model,
                         request.adapter(),
-                        () -> replica.holds(model, "") && adapterCount(replica) < engine.maxAdapters())
+                        () -> replica.holds(model, "")
+                                && ReplicaCapacity.hasFreeAdapterPlace(replica, engine)
+                                && ReplicaCapacity.hasRoomForAdapter(replica, model, engine))
                 : completed(false));
     }
 
-    private static int adapterCount(ReplicaState replica) {
-        return replica.residents().values().stream().mapToInt(Set::size).sum();
-    }
-
     /** Unloads the adapter that was loaded least recently. */
     private Uni<Boolean> unloadOldestAdapter(ReplicaState replica) {
         String oldest = null;
@@ -426,6 +429,7 @@
      *     otherwise ignored as outdated
      */
     private Uni<Void> refresh(ReplicaState replica, boolean acceptLowerCount) {
+        long fenceWhenSent = lease.isHeld() ? lease.fence() : 0;
         return client.report(replica.listed())
                 .invoke(report -> {
                     if (acceptLowerCount && report.holdings().acceptedOrders() < replica.acceptedOrders()) {
@@ -443,7 +447,9 @@
                         }
                     });
                     if (replacesState && report.holdings().acceptedOrders() >= replica.acceptedOrders()) {
-                        verifiedFence = report.busy() ? 0 : lease.fence();
+                        // A report that was requested before the lease was acquired may lack orders of the holder
+                        // before.
+                        verifiedFence = report.busy() ? 0 : fenceWhenSent;
                     }
                     if (changed) {
                         broadcaster.broadcast(replica);
@@ -460,22 +466,6 @@
                 });
     }
 
-    private static boolean hasRoomFor(ReplicaState replica, ModelName model, EngineSpec engine) {
-        ModelSpec spec = engine.models().get(model);
-        if (spec == null) {
-            return false;
-        }
-        double usedMegabytes = replica.loading()
-                .map(engine.models()::get)
-                .map(ModelSpec::weightsMegabytes)
-                .orElse(0.0);
-        for (ModelName resident : replica.residents().keySet()) {
-            ModelSpec other = engine.models().get(resident);
-            usedMegabytes += other == null ? engine.memoryMegabytes() : other.weightsMegabytes();
-        }
-        return usedMegabytes + spec.weightsMegabytes() <= engine.modelMemoryMegabytes();
-    }
-
     private static Uni<Boolean> completed(boolean value) {
         return Uni.createFrom().item(value);
     }
@@ -483,6 +473,4 @@
     private static Uni<Optional<Boolean>> finalOutcome(boolean value) {
         return Uni.createFrom().item(Optional.of(value));
     }
-
-    /** Requests that are executed one at a time. Adapters have their own queue, so they do not wait for model loads. */
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
@@ -57,6 +57,7 @@
     private final FakeReplica replica = new FakeReplica();
     private final List<PeerMessage.ReplicaNotice> notices = new ArrayList<>();
     private final List<EntryId> told = new ArrayList<>();
+    private GroupLease lease;
     private ReplicaLoadExecutor executor;
 
     @BeforeEach
@@ -68,7 +69,7 @@
             });
             return () -> {};
         });
-        GroupLease lease = new GroupLease(
+        lease = new GroupLease(
                 0, SELF, true, new PausableStore(), clock, () -> Instant.ofEpochMilli(nowMillis), delays);
         lease.acquire(Optional.empty()).await().indefinitely();
         replica.models.put(FIRST_MODEL, new HashSet<>());
@@ -201,6 +202,36 @@
         assertEquals(7, notices.get(0).sequence());
     }
 
+    // Guards against the orders of the holder before, which a report that was on its way at the handover does not
+    // contain.
+    @Test
+    void reportRequestedBeforeTheLeaseWasAcquiredIsNotTrusted() {
+        replica.pausesReports = true;
+        executor.refreshState();
+        lease.markLost("test");
+        lease.acquire(lease.read().await().indefinitely()).await().indefinitely();
+        replica.models.get(FIRST_MODEL).addAll(Set.of("b1", "b2"));
+        replica.pausesReports = false;
+        replica.pausedReports.remove().run();
+
+        request(FIRST_MODEL, "a1", List.of());
+
+        assertEquals(0, replica.overloads);
+    }
+
+    // Guards against an initial placement that leaves less memory than the places for adapters need.
+    @Test
+    void adapterThatExceedsMemoryIsNotOrdered() {
+        double memoryMegabytes = 61;
+        EngineSpec engine = engine();
+        EngineSpec small = new EngineSpec(8, memoryMegabytes, 2, 2, engine.models());
+
+        request(FIRST_MODEL, "a1", List.of(), small);
+        request(FIRST_MODEL, "a2", List.of(), small);
+
+        assertEquals(Set.of("a1"), replica.models.get(FIRST_MODEL));
+    }
+
     // Guards against hundreds of datagrams for each adapter that one entry asked for.
     @Test
     void loadedAdapterIsToldToTheEntryThatAskedForIt() {
@@ -215,7 +246,11 @@
     }
 
     private void request(ModelName model, String adapter, List<ModelName> evict) {
-        executor.submit(OTHER, new PeerMessage.LoadRequest(REPLICA, model, adapter, evict), engine());
+        request(model, adapter, evict, engine());
+    }
+
+    private void request(ModelName model, String adapter, List<ModelName> evict, EngineSpec engine) {
+        executor.submit(OTHER, new PeerMessage.LoadRequest(REPLICA, model, adapter, evict), engine);
         while (!timers.isEmpty()) {
             timers.remove().run();
         }
@@ -256,6 +291,8 @@
         private long orderCount;
         private int repliesToLose;
         private boolean losesOrders;
+        private boolean pausesReports;
+        private final Queue<Runnable> pausedReports = new ArrayDeque<>();
         private int overloads;
 
         void beginLoad(ModelName model, long millis) {
@@ -272,7 +309,10 @@
             if (nowMillis < unreachableUntilMillis) {
                 return Uni.createFrom().failure(new IllegalStateException("no response"));
             }
-            return Uni.createFrom().item(new Report(holdings(orderCount), isBusy()));
+            Report report = new Report(holdings(orderCount), isBusy());
+            return pausesReports
+                    ? Uni.createFrom().emitter(emitter -> pausedReports.add(() -> emitter.complete(report)))
+                    : Uni.createFrom().item(report);
         }
 
         @Override
