Recognise a failure of a replica by its id, not by the times that messages tell

Each message makes them later by its delay, and a run that crashed its replica lasts 1 to 3 ms: after one message it seemed to start after the failure that was recorded, and counted as another one. A request with more failures than the prompt part explains them, so that entries took the part off the quarantine and ran it again: 7 upstreams crashed, 5 allowed.

Change: all reports of one failure have an id: the start of the process that failed, where it is known, as a process fails once, or a value of the call's attempt. A report with a known id adds nothing, whatever its times.

Measured: QuarantineTest.failureThatIsReportedLateBySeveralEntriesCountsOnce.

--- a/tarragonring-core/src/main/java/org/tarragonring/caller/CallDetails.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/CallDetails.java
@@ -1,6 +1,7 @@
 package org.tarragonring.caller;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
@@ -119,8 +120,9 @@
      * @return a run for each suspect, never null
      */
     public List<FailedRun> failedRuns(UpstreamId replica, long startedMillis, long failedMillis) {
+        long failureId = Objects.hash(id, startedMillis);
         return suspects().stream()
-                .map(suspect -> new FailedRun(suspect, replica, startedMillis, failedMillis))
+                .map(suspect -> new FailedRun(suspect, replica, startedMillis, failedMillis, failureId))
                 .toList();
     }
 
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
@@ -155,6 +155,9 @@
         if (run.suspect().isPromptPart()) {
             wire.setPromptPart(run.suspect().promptPart());
         }
+        if (run.failureId() != 0) {
+            wire.setFailureId(run.failureId());
+        }
         return wire;
     }
 
@@ -164,7 +167,8 @@
                         new RequestFingerprint(wire.getRequest()), wire.isSetPromptPart() ? wire.getPromptPart() : 0),
                 new UpstreamId(wire.getReplica()),
                 wire.getRanMillis(),
-                wire.getAgoMillis());
+                wire.getAgoMillis(),
+                wire.getFailureId());
     }
 
     private static WireWeightDemand toWire(PeerMessage.WeightDemand demand) {
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -211,8 +211,9 @@
      * @param replica the replica, not null
      * @param ranMillis the time from the start of the run to the failure, in milliseconds
      * @param agoMillis the time from the failure to the sending of the message, in milliseconds
+     * @param failureId the same in all reports of one failure, 0 if it is not known
      */
-    record FailedRun(Suspect suspect, UpstreamId replica, long ranMillis, long agoMillis) {}
+    record FailedRun(Suspect suspect, UpstreamId replica, long ranMillis, long agoMillis, long failureId) {}
 
     /**
      * Tells which version of the replicas' software began streams, and asks for that of others.
--- a/tarragonring-core/src/main/java/org/tarragonring/routing/FailureHistory.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/routing/FailureHistory.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 import org.tarragonring.ids.UpstreamId;
@@ -100,22 +103,25 @@
     }
 
     /**
-     * Adds a failure. A run that started before the last failure of its replica belongs to that failure.
+     * Adds a failure. A run that started before the last failure of its replica belongs to that failure. Reports are
+     * recognised by the id of the failure, too: entries pass them on, and the times that they tell are later by the delay of
+     * each message, which may be longer than the run.
      *
      * @return false if the failure is known
      */
     boolean add(FailedRun run) {
-        boolean isKnown = failures.stream()
-                .anyMatch(failure ->
-                        failure.replica.equals(run.replica()) && run.startedMillis() <= failure.failedMillis);
-        if (isKnown) {
+        Optional<Failure> known =
+                failures.stream().filter(failure -> failure.includes(run)).findFirst();
+        if (known.isPresent()) {
+            known.get().ids.add(run.failureId());
             return false;
         }
         int index = failures.size();
         while (index > 0 && failures.get(index - 1).failedMillis > run.failedMillis()) {
             index--;
         }
-        failures.add(index, new Failure(run.replica(), run.startedMillis(), run.failedMillis()));
+        Set<Long> ids = new LinkedHashSet<>(List.of(run.failureId()));
+        failures.add(index, new Failure(run.replica(), ids, run.startedMillis(), run.failedMillis()));
         return true;
     }
 
@@ -217,10 +223,21 @@
      * A failure of a replica.
      *
      * @param replica the replica
+     * @param ids the ids under which the failure was reported, the first one first; runs are added to them
      * @param startedMillis the start of the run on the monotonic clock
      * @param failedMillis the time at which the failure was detected, on the monotonic clock
      */
-    record Failure(UpstreamId replica, long startedMillis, long failedMillis) {
+    record Failure(UpstreamId replica, Set<Long> ids, long startedMillis, long failedMillis) {
+
+        /** Returns the id under which the failure became known first. */
+        long firstId() {
+            return ids.iterator().next();
+        }
+
+        private boolean includes(FailedRun run) {
+            boolean isReportedBefore = run.failureId() != FailedRun.UNKNOWN_FAILURE && ids.contains(run.failureId());
+            return replica.equals(run.replica()) && (isReportedBefore || run.startedMillis() <= failedMillis);
+        }
 
         /** Returns whether this is the same failure of the replica, detected by another entry or another run. */
         boolean isSame(Failure other) {
--- a/tarragonring-core/src/main/java/org/tarragonring/routing/Quarantine.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/routing/Quarantine.java
@@ -290,7 +290,11 @@
                 .filter(FailureHistory::isQuarantined)
                 .flatMap(history -> history.failures().stream()
                         .map(failure -> new FailedRun(
-                                history.suspect(), failure.replica(), failure.startedMillis(), failure.failedMillis())))
+                                history.suspect(),
+                                failure.replica(),
+                                failure.startedMillis(),
+                                failure.failedMillis(),
+                                failure.firstId())))
                 .toList();
     }
 
--- a/tarragonring-core/src/main/java/org/tarragonring/spread/FailureReports.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/spread/FailureReports.java
@@ -275,7 +275,8 @@
                                 run.suspect(),
                                 run.replica(),
                                 run.failedMillis() - run.startedMillis(),
-                                nowMillis - run.failedMillis()))
+                                nowMillis - run.failedMillis(),
+                                run.failureId()))
                         .toList(),
                 List.of());
     }
@@ -291,7 +292,12 @@
 
     private FailedRun toRun(PeerMessage.FailedRun message) {
         long failedMillis = clock.millis() - message.agoMillis();
-        return new FailedRun(message.suspect(), message.replica(), failedMillis - message.ranMillis(), failedMillis);
+        return new FailedRun(
+                message.suspect(),
+                message.replica(),
+                failedMillis - message.ranMillis(),
+                failedMillis,
+                message.failureId());
     }
 
     /**
--- a/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
@@ -84,12 +84,14 @@
                                         Suspect.ofRequest(new RequestFingerprint("0a1b")),
                                         new UpstreamId("engine"),
                                         8,
-                                        9),
+                                        9,
+                                        0),
                                 new PeerMessage.FailedRun(
                                         new Suspect(new RequestFingerprint("4e5f"), 2),
                                         new UpstreamId("engine"),
                                         8,
-                                        9)),
+                                        9,
+                                        10)),
                         List.of(new PeerMessage.Answered(new RequestFingerprint("2c3d"), 10))),
                 new PeerMessage.StreamReport(
                         Map.of(new StreamId("c1"), new SoftwareVersion("v2")), List.of(new StreamId("c2"))));
--- a/tarragonring-core/src/test/java/org/tarragonring/routing/QuarantineTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/routing/QuarantineTest.java
@@ -42,6 +42,33 @@
         assertFalse(quarantine.isQuarantined(REQUEST));
     }
 
+    // Guards against a failure that counts again each time an entry passes it on: the run was shorter than the delay of
+    // the
+    // messages, so that it seems to start after the failure.
+    @Test
+    void failureThatIsReportedLateBySeveralEntriesCountsOnce() {
+        long failureId = 77;
+        Suspect suspect = Suspect.ofRequest(REQUEST);
+        UpstreamId replica = new UpstreamId("replica-1");
+        assertTrue(quarantine.recordFailure(new FailedRun(suspect, replica, 498, 500, failureId)));
+        for (long delayMillis : new long[] {5, 40, 4_000}) {
+            assertFalse(quarantine.recordFailure(
+                    new FailedRun(suspect, replica, 498 + delayMillis, 500 + delayMillis, failureId)));
+        }
+        assertEquals(1, quarantine.failureCount(REQUEST));
+        assertFalse(quarantine.isQuarantined(REQUEST));
+    }
+
+    @Test
+    void failureThatWasReportedUnderAnotherIdIsRecognisedByIt() {
+        Suspect suspect = Suspect.ofRequest(REQUEST);
+        UpstreamId replica = new UpstreamId("replica-1");
+        quarantine.recordFailure(new FailedRun(suspect, replica, 100, 500, 1));
+        assertFalse(quarantine.recordFailure(new FailedRun(suspect, replica, 499, 510, 2)));
+
+        assertFalse(quarantine.recordFailure(new FailedRun(suspect, replica, 699, 710, 2)));
+    }
+
     @Test
     void runsThatOneFailureBrokeOffCountOnce() {
         assertTrue(quarantine.recordFailure(run(REQUEST, "replica-1", 100, 500)));
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/quarantine/ReplicaRunsTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/quarantine/ReplicaRunsTest.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.routing.FailedRun;
 import org.tarragonring.routing.Suspect;
 
@@ -16,6 +18,7 @@
 class ReplicaRunsTest {
 
     private static final UpstreamId REPLICA = new UpstreamId("replica-1");
+    private static final ReplicaProcess PROCESS = new ReplicaProcess(REPLICA, 900, Optional.empty());
     private static final UpstreamId OTHER_REPLICA = new UpstreamId("replica-2");
     private static final RequestFingerprint REQUEST = new RequestFingerprint("a0");
     private static final List<Suspect> SUSPECTS = List.of(Suspect.ofRequest(REQUEST));
@@ -25,16 +28,17 @@
 
     @Test
     void runThatHasNotEndedFails() {
-        runs.start(REPLICA, () -> SUSPECTS);
+        runs.start(PROCESS, () -> SUSPECTS);
         advance(Duration.ofMillis(50));
 
         assertEquals(
-                List.of(new FailedRun(Suspect.ofRequest(REQUEST), REPLICA, 1_000, 1_050)), runs.takeFailed(REPLICA));
+                List.of(new FailedRun(Suspect.ofRequest(REQUEST), REPLICA, 1_000, 1_050, PROCESS.startMillis())),
+                runs.takeFailed(REPLICA));
     }
 
     @Test
     void eachRunFailsOnce() {
-        ReplicaRuns.Run run = runs.start(REPLICA, () -> SUSPECTS);
+        ReplicaRuns.Run run = runs.start(PROCESS, () -> SUSPECTS);
         runs.takeFailed(REPLICA);
         runs.end(run, false);
 
@@ -43,14 +47,14 @@
 
     @Test
     void answeredRunDoesNotFail() {
-        runs.end(runs.start(REPLICA, () -> SUSPECTS), true);
+        runs.end(runs.start(PROCESS, () -> SUSPECTS), true);
 
         assertEquals(List.of(), runs.takeFailed(REPLICA));
     }
 
     @Test
     void runOnAnotherReplicaDoesNotFail() {
-        runs.start(OTHER_REPLICA, () -> SUSPECTS);
+        runs.start(new ReplicaProcess(OTHER_REPLICA, 7, Optional.empty()), () -> SUSPECTS);
 
         assertEquals(List.of(), runs.takeFailed(REPLICA));
     }
@@ -58,10 +62,10 @@
     // Guards against a silent replica whose failure is detected after the caller has left.
     @Test
     void runThatEndedUnansweredFailsUntilItsRetentionEnds() {
-        ReplicaRuns.Run early = runs.start(REPLICA, () -> List.of(Suspect.ofRequest(new RequestFingerprint("b0"))));
+        ReplicaRuns.Run early = runs.start(PROCESS, () -> List.of(Suspect.ofRequest(new RequestFingerprint("b0"))));
         runs.end(early, false);
         advance(Duration.ofMillis(ReplicaRuns.UNANSWERED_RETENTION_MILLIS));
-        runs.end(runs.start(REPLICA, () -> SUSPECTS), false);
+        runs.end(runs.start(PROCESS, () -> SUSPECTS), false);
         advance(Duration.ofMillis(1));
 
         assertEquals(
@@ -74,15 +78,19 @@
     // Guards against a part that counts as often as there are requests with it on the failed replica.
     @Test
     void partOfSeveralRequestsFailsOnceWithTheLastOfItsRuns() {
-        runs.start(REPLICA, () -> Suspect.ofRequestAndParts(new RequestFingerprint("a1"), List.of("common", "first")));
+        runs.start(PROCESS, () -> Suspect.ofRequestAndParts(new RequestFingerprint("a1"), List.of("common", "first")));
         advance(Duration.ofMillis(20));
-        runs.start(REPLICA, () -> Suspect.ofRequestAndParts(new RequestFingerprint("a2"), List.of("common", "second")));
+        runs.start(PROCESS, () -> Suspect.ofRequestAndParts(new RequestFingerprint("a2"), List.of("common", "second")));
 
         List<FailedRun> failed = runs.takeFailed(REPLICA);
 
         assertEquals(5, failed.size());
-        assertTrue(failed.contains(
-                new FailedRun(new Suspect(RequestFingerprint.ofPromptPart("common"), 1), REPLICA, 1_020, 1_020)));
+        assertTrue(failed.contains(new FailedRun(
+                new Suspect(RequestFingerprint.ofPromptPart("common"), 1),
+                REPLICA,
+                1_020,
+                1_020,
+                PROCESS.startMillis())));
     }
 
     private void advance(Duration time) {
