End each call of the product's own interface at its deadline, and read responses that come at once

The entry had answered: it had "0 calls in flight" when it stopped, and no log line of a run. The client sent the request first and set the reader of the response after that, from a thread of its own; a refusal that arrived before the thread went on was dropped, and its future never completed. By reading: an exception while a call released its replica, after its deadline was cancelled, would have left a call without an end in the entry, and a resumed stream had no deadline.

The deadline of a call belongs to CallCompletion, which both serving paths share; only the end of the call or the start of its response cancels it, and a resumed stream gets one again. Calls are answered before they release what they occupy, and the actions of a dispatcher cannot fail each other.

--- a/tarragonring-cli/src/main/java/org/tarragonring/cli/client/CallClient.java
+++ b/tarragonring-cli/src/main/java/org/tarragonring/cli/client/CallClient.java
@@ -1,6 +1,7 @@
 package org.tarragonring.cli.client;
 
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -9,6 +10,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -60,9 +62,10 @@
      */
     public Future<JsonObject> resolve(HostPort entry, String teamKey, String model) {
         RequestOptions options = options(entry, HttpMethod.GET, "/v1/resolve?model=" + model, teamKey);
-        return client.request(options)
-                .compose(request -> request.send())
-                .compose(response -> response.body().map(body -> {
+        return send(
+                options,
+                Buffer.buffer(),
+                response -> response.body().map(body -> {
                     if (response.statusCode() != STATUS_OK) {
                         throw new IllegalStateException(body.toString());
                     }
@@ -88,11 +91,12 @@
                         new JsonArray().add(new JsonObject().put("role", "user").put("content", call.prompt())));
         RequestOptions options = options(call.entry(), HttpMethod.POST, "/v1/chat/completions", call.teamKey());
         options.putHeader("Content-Type", "application/json");
-        return client.request(options)
-                .compose(request -> request.send(body.toBuffer()))
-                .compose(response -> response.statusCode() == STATUS_OK
-                        ? readStream(response, tokens, startNanos)
-                        : readRefusal(response))
+        return send(
+                        options,
+                        body.toBuffer(),
+                        response -> response.statusCode() == STATUS_OK
+                                ? readStream(response, tokens, startNanos)
+                                : readRefusal(response))
                 .otherwise(failure -> lostResult(failure.getMessage()));
     }
 
@@ -114,21 +118,35 @@
         if (idempotencyKey != null) {
             options.putHeader("Idempotency-Key", idempotencyKey);
         }
-        return client.request(options)
-                .compose(request -> request.send(Buffer.buffer(body)))
-                .compose(response -> response.statusCode() == STATUS_OK
-                        ? response.body()
-                                .map(responseBody -> new CallResult(
-                                        CallResult.Outcome.ANSWERED,
-                                        "",
-                                        "",
-                                        responseBody.toString(),
-                                        0,
-                                        millisSince(startNanos)))
-                        : readRefusal(response))
+        return send(
+                        options,
+                        Buffer.buffer(body),
+                        response -> response.statusCode() == STATUS_OK
+                                ? response.body()
+                                        .map(responseBody -> new CallResult(
+                                                CallResult.Outcome.ANSWERED,
+                                                "",
+                                                "",
+                                                responseBody.toString(),
+                                                0,
+                                                millisSince(startNanos)))
+                                : readRefusal(response))
                 .otherwise(failure -> lostResult(failure.getMessage()));
     }
 
+    /**
+     * Sends a request and reads its response. The reader is set before the request is sent: the response may have arrived
+     * completely before this method, which may run on any thread, returns, and nothing of it would be left to read.
+     */
+    private <T> Future<T> send(RequestOptions options, Buffer body, Function<HttpClientResponse, Future<T>> reader) {
+        return client.request(options).compose(request -> {
+            Future<T> result = request.response().compose(reader);
+            request.putHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()));
+            request.end(body);
+            return result;
+        });
+    }
+
     private static RequestOptions options(HostPort entry, HttpMethod method, String path, String teamKey) {
         return new RequestOptions()
                 .setHost(entry.host())
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
@@ -21,6 +21,7 @@
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.routing.Suspect;
+import org.tarragonring.time.VertxTimers;
 import org.tarragonring.upstream.UpstreamHeaders;
 import org.tarragonring.upstream.UpstreamRequest;
 import org.tarragonring.upstream.UpstreamResponse;
@@ -47,7 +48,6 @@
     private CallAssignment assignment;
     private UpstreamResponse pendingResponse;
     private EventRelay relay;
-    private long deadlineTimerId = -1;
     private int attempts;
     /** Whether an earlier attempt may have run, so that the call can no longer end as not run. */
     private boolean mayHaveRun;
@@ -72,7 +72,7 @@
         this.chatRequest = chatRequest;
         this.response = response;
         this.context = context;
-        this.completion = new CallCompletion(dependencies, details, response);
+        this.completion = new CallCompletion(dependencies, details, response, new VertxTimers(context.owner()));
         this.responseDeadlineMillis = details.deadlineMillis();
     }
 
@@ -80,8 +80,7 @@
         response.putHeader(CallerHeaders.CALL_ID, details.id().value());
         response.closeHandler(closed -> onCallerDisconnected());
         response.exceptionHandler(failure -> onCallerDisconnected());
-        long remainingMillis = details.deadlineMillis() - dependencies.clock().millis();
-        deadlineTimerId = context.owner().setTimer(Math.max(1, remainingMillis), id -> onDeadline());
+        completion.setDeadline(details.deadlineMillis(), this::onDeadline);
         attempt();
     }
 
@@ -208,15 +207,14 @@
                 new EventRelay.Listener() {
                     @Override
                     public void onToken() {
-                        cancelDeadline();
                         completion.markResponseStarted();
                     }
 
                     @Override
                     public void onComplete() {
+                        completion.complete();
                         releaseAssignment(CallAssignment.Outcome.ANSWERED);
                         recordAnswer();
-                        completion.complete();
                     }
 
                     @Override
@@ -240,11 +238,6 @@
                         onResponseFailed(result.cause().getMessage());
                         return;
                     }
-                    cancelDeadline();
-                    releaseAssignment(CallAssignment.Outcome.ANSWERED);
-                    if (upstreamResponse.isOk()) {
-                        recordAnswer();
-                    }
                     completion.markResponseStarted();
                     if (completion.complete()) {
                         response.setStatusCode(upstreamResponse.status());
@@ -252,6 +245,10 @@
                         response.putHeader(CallerHeaders.VERDICT, Verdict.RAN.text());
                         response.end(result.result());
                     }
+                    releaseAssignment(CallAssignment.Outcome.ANSWERED);
+                    if (upstreamResponse.isOk()) {
+                        recordAnswer();
+                    }
                 }));
         upstreamResponse.response().resume();
     }
@@ -324,26 +321,27 @@
         if (completion.isResponseStarted()) {
             responseDeadlineMillis = dependencies.clock().millis()
                     + details.callClass().deadline().toMillis();
+            completion.setDeadline(responseDeadlineMillis, this::onDeadline);
         }
         LogEvent.STREAM_RESUMED.logForCall(details.id().value(), "(not yet selected)", deliveredTokens);
         attempt();
     }
 
     private void refuse(CallException failure) {
-        cancelDeadline();
-        releaseAssignment(CallAssignment.Outcome.ABANDONED);
         completion.refuse(mayHaveRun ? failure.withVerdict(Verdict.MAY_HAVE_RUN) : failure);
+        releaseAssignment(CallAssignment.Outcome.ABANDONED);
     }
 
-    private void onDeadline() {
-        deadlineTimerId = -1;
-        if (!completion.isOpen() || completion.isResponseStarted()) {
-            return;
-        }
-        Verdict verdict = assignment == null ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+    /** Releases what the call occupies, and returns why it ends. */
+    private CallException onDeadline() {
+        boolean isNotRun = assignment == null && !mayHaveRun && !completion.isResponseStarted();
         cancelUpstreamRequest();
-        refuse(new CallException(
-                RefusalReason.DEADLINE, verdict, Duration.ZERO, "response did not start before the deadline"));
+        releaseAssignment(CallAssignment.Outcome.ABANDONED);
+        return new CallException(
+                RefusalReason.DEADLINE,
+                isNotRun ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
+                Duration.ZERO,
+                "response did not start before the deadline");
     }
 
     private void onCallerDisconnected() {
@@ -351,7 +349,6 @@
             return;
         }
         completion.abandon();
-        cancelDeadline();
         cancelUpstreamRequest();
         releaseAssignment(CallAssignment.Outcome.ABANDONED);
     }
@@ -374,13 +371,6 @@
         }
     }
 
-    private void cancelDeadline() {
-        if (deadlineTimerId >= 0) {
-            context.owner().cancelTimer(deadlineTimerId);
-            deadlineTimerId = -1;
-        }
-    }
-
     private <T> void onContext(CompletionStage<T> stage, Consumer<T> success, Consumer<CallException> failure) {
         stage.whenComplete((value, error) -> context.runOnContext(ignored -> {
             if (error == null) {
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ServiceCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ServiceCall.java
@@ -22,6 +22,7 @@
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.objects.Instance;
+import org.tarragonring.time.VertxTimers;
 import org.tarragonring.upstream.UpstreamRequest;
 import org.tarragonring.upstream.UpstreamResponse;
 
@@ -44,7 +45,6 @@
     private final Context context;
     private final CallCompletion completion;
     private final Set<UpstreamId> excludedUpstreams = new HashSet<>();
-    private long deadlineTimerId = -1;
     private boolean sent;
     private boolean claimed;
     private int attempts;
@@ -63,14 +63,13 @@
         this.request = request;
         this.response = request.response();
         this.context = context;
-        this.completion = new CallCompletion(dependencies, details, response);
+        this.completion = new CallCompletion(dependencies, details, response, new VertxTimers(context.owner()));
     }
 
     void start() {
         response.putHeader(CallerHeaders.CALL_ID, details.id().value());
         response.closeHandler(closed -> onCallerDisconnected());
-        long remainingMillis = details.deadlineMillis() - dependencies.clock().millis();
-        deadlineTimerId = context.owner().setTimer(Math.max(1, remainingMillis), id -> onDeadline());
+        completion.setDeadline(details.deadlineMillis(), this::onDeadline);
         if (claimKey.isPresent() && !details.callClass().retryable()) {
             claim(claimKey.get());
         } else {
@@ -117,7 +116,6 @@
     }
 
     private void replay(StoredResponse storedResponse) {
-        cancelDeadline();
         if (completion.complete()) {
             response.putHeader(CallerHeaders.REPLAYED, "true");
             write(storedResponse.status(), storedResponse.contentType(), Buffer.buffer(storedResponse.body()));
@@ -221,7 +219,6 @@
                             details.id().value(),
                             new StoredResponse(upstreamResponse.status(), contentType, body.getBytes()));
         }
-        cancelDeadline();
         completion.markResponseStarted();
         if (completion.complete()) {
             write(upstreamResponse.status(), contentType, body);
@@ -251,11 +248,10 @@
     }
 
     private void refuse(CallException failure) {
-        cancelDeadline();
+        completion.refuse(failure);
         if (failure.verdict() == Verdict.NOT_RUN) {
             releaseClaim();
         }
-        completion.refuse(failure);
     }
 
     private void releaseClaim() {
@@ -265,18 +261,15 @@
         }
     }
 
-    private void onDeadline() {
-        deadlineTimerId = -1;
+    /** Releases the claim of a call that has not run, and returns why it ends. */
+    private CallException onDeadline() {
         Verdict verdict = sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
-        completion.refuse(new CallException(
-                RefusalReason.DEADLINE, verdict, Duration.ZERO, "response did not start before the deadline"));
-        if (!sent) {
-            releaseClaim();
-        }
+        releaseClaim();
+        return new CallException(
+                RefusalReason.DEADLINE, verdict, Duration.ZERO, "response did not start before the deadline");
     }
 
     private void onCallerDisconnected() {
-        cancelDeadline();
         completion.abandon();
     }
 
@@ -289,11 +282,4 @@
         response.putHeader(CallerHeaders.VERDICT, Verdict.RAN.text());
         response.end(body);
     }
-
-    private void cancelDeadline() {
-        if (deadlineTimerId >= 0) {
-            context.owner().cancelTimer(deadlineTimerId);
-            deadlineTimerId = -1;
-        }
-    }
 }
--- a/tarragonring-core/src/main/java/org/tarragonring/dispatch/ModelDispatcher.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/dispatch/ModelDispatcher.java
@@ -20,6 +20,7 @@
 import org.tarragonring.errors.RefusalReason;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.ids.ModelName;
+import org.tarragonring.log.LogEvent;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.routing.Target;
 
@@ -79,7 +80,7 @@
         } finally {
             lock.unlock();
         }
-        actions.forEach(Runnable::run);
+        actions.forEach(this::runAction);
         return pending.future;
     }
 
@@ -106,7 +107,7 @@
         } finally {
             lock.unlock();
         }
-        actions.forEach(Runnable::run);
+        actions.forEach(this::runAction);
     }
 
     /** Refuses waiting calls whose deadline has passed, assigns others and sends a demand report if one is due. */
@@ -129,7 +130,7 @@
         } finally {
             lock.unlock();
         }
-        actions.forEach(Runnable::run);
+        actions.forEach(this::runAction);
     }
 
     /**
@@ -164,6 +165,15 @@
         }
     }
 
+    /** Runs an action after the lock is released. Its failure concerns neither the other calls nor the invoker. */
+    private void runAction(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LogEvent.UNEXPECTED_FAILURE.log("the dispatcher of model " + name, e);
+        }
+    }
+
     void onReleased(Target target, long assignedMillis, CallAssignment.Outcome outcome) {
         List<Runnable> actions = new ArrayList<>();
         lock.lock();
@@ -186,7 +196,7 @@
         } finally {
             lock.unlock();
         }
-        actions.forEach(Runnable::run);
+        actions.forEach(this::runAction);
     }
 
     private void admit(PendingCall pending, List<Runnable> actions) {
