Bound the memory of all bodies together, and end planned stops without cutting calls off

Two faults of the calling side:

The sockets of an entry had no bound of their own: the system lets a receive buffer grow to 32 MB here (tcp_rmem), which is how 16.8 MB of an endless response left the replica.

Change 1: MemoryBudget counts request bodies, kept responses and incomplete events against a quarter of the heap; large ones leave an eighth of it to small ones. A body that does not fit is refused with 503 and Retry-After before it is read, or at the byte where it stops fitting, and the rest is discarded. A body must arrive within the timeout of its route (408). Sockets have buffers of 256 KiB.

Change 2: from the beginning of a shutdown a call is admitted only if the longest recent run of its route, twice that if it must not run twice, ends in time; without any, if its own timeout does. Calls that have not ended by then get a response that tells whether they may have run.

Found on the way: the end of a replica's connection ended a response of which a part waited for a slow caller; now the response itself tells its end.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -241,7 +241,7 @@
         shuttingDown = true;
         LogEvent.GATEWAY_SHUTTING_DOWN.log(settings.id(), server.inFlight());
         new ShutdownSequence()
-                .then("waiting calls", server::beginShutdown)
+                .then("waiting calls", () -> server.beginShutdown(settings.shutdownLimit()))
                 .then("new calls", () -> timers.schedule(MIN_DRAIN_TIME, server::refuseNewCalls))
                 .then("membership", mesh::leave)
                 .then("planning", planning::stop)
@@ -250,6 +250,7 @@
                 .then("order leases", leaseManager::stop)
                 .thenAwait("start", () -> started.handle((done, failure) -> null))
                 .thenAwait("calls in flight", this::drain)
+                .then("unfinished calls", server::endCalls)
                 .thenAwait("call server", server::stop)
                 .thenAwait("mesh", mesh::stop)
                 .then("configuration watch", configWatcher::stop)
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -46,8 +46,12 @@
     private final ReplicaState replica;
     private final ReplicaProcess process;
     private final HttpClientRequest request;
+    /** What is kept of the response until it is complete. */
+    private final MemoryBudget.Reservation memory;
+
     private ReplicaRuns.Run run;
     private boolean ended;
+    private boolean responding;
     private boolean connectionFailed;
 
     /**
@@ -70,6 +74,7 @@
         this.replica = replica;
         this.process = process;
         this.request = request;
+        this.memory = context.memory.reserve();
     }
 
     void start() {
@@ -108,6 +113,7 @@
             return false;
         }
         ended = true;
+        memory.release();
         context.durationEstimator.onEnded(replica.id(), exchange, succeeded);
         if (answered) {
             context.failureMonitor.onRunAnswered(run);
@@ -121,8 +127,9 @@
         return true;
     }
 
+    /** Handles the end of the connection. Of a response, a part may still wait until the caller has read what came before. */
     private void onClosed() {
-        if (!ended) {
+        if (!ended && !responding) {
             failed(Verdict.MAY_HAVE_RUN, "the replica closed the connection");
         }
     }
@@ -158,6 +165,7 @@
             end(true, false);
             return;
         }
+        responding = true;
         boolean isSuccess = response.statusCode() / 100 == 2;
         if (!head.belongsToCall()) {
             failed(Verdict.MAY_HAVE_RUN, "the response belongs to another call");
@@ -243,7 +251,7 @@
 
     /**
      * Buffers a response body and forwards it to the caller once it is complete, so that another replica can be tried
-     * if it breaks off. A body that is longer than the buffer is forwarded as it arrives.
+     * if it breaks off. A body that is longer than the buffer, or for which there is no memory, is forwarded as it arrives.
      */
     private final class BodyRelay {
 
@@ -267,7 +275,7 @@
             }
             if (callerResponse == null) {
                 buffered.appendBuffer(bytes);
-                if (buffered.length() > MAX_BUFFERED_BODY_BYTES) {
+                if (buffered.length() > MAX_BUFFERED_BODY_BYTES || !memory.resize(buffered.length())) {
                     startForwarding();
                 }
             } else {
@@ -289,6 +297,7 @@
             }
             callerResponse.write(buffered);
             buffered = Buffer.buffer();
+            memory.release();
             applyBackPressure(response, callerResponse);
         }
 
@@ -329,8 +338,9 @@
                 return;
             }
             Buffer events = exchange.framer.feed(bytes);
-            if (exchange.framer.partialLength() > MAX_EVENT_BYTES) {
-                onBroken("an event is longer than %d bytes".formatted(MAX_EVENT_BYTES));
+            int partialBytes = exchange.framer.partialLength();
+            if (partialBytes > MAX_EVENT_BYTES || !memory.resize(partialBytes)) {
+                onBroken("an event is longer than %d bytes or than the free memory".formatted(MAX_EVENT_BYTES));
                 return;
             }
             if (events.length() == 0) {
@@ -386,5 +396,6 @@
             ReplicaFailureMonitor failureMonitor,
             LocalResponses localResponses,
             LeavingReplicas leavingReplicas,
+            MemoryBudget memory,
             Listener listener) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallDurationEstimator.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallDurationEstimator.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.ids.ModelName;
@@ -21,7 +22,11 @@
     /** The least assumed remaining time, also for a call that already exceeds the mean duration. */
     private static final long MIN_ESTIMATE_MILLIS = 250;
 
+    /** By how much the longest duration shrinks with each shorter run, so that it follows what runs now. */
+    private static final double LONGEST_DECAY = 0.98;
+
     private final MonotonicClock clock;
+    private final Map<String, Double> longestMillis = new HashMap<>();
     private final Map<String, Double> meanMillis = new HashMap<>();
     private final Map<UpstreamId, Map<Exchange, Long>> startMillisByReplica = new HashMap<>();
 
@@ -44,9 +49,17 @@
             double durationMillis = clock.millis() - startMillis;
             meanMillis.merge(
                     exchange.route.name(), durationMillis, (old, newest) -> old + NEWEST_WEIGHT * (newest - old));
+            longestMillis.merge(
+                    exchange.route.name(), durationMillis, (old, newest) -> Math.max(newest, old * LONGEST_DECAY));
         }
     }
 
+    /** Returns how long the longest of the recent runs of a route took, empty if none has finished yet. */
+    OptionalLong longestMillis(String route) {
+        Double millis = longestMillis.get(route);
+        return millis == null ? OptionalLong.empty() : OptionalLong.of((long) Math.ceil(millis));
+    }
+
     /** Returns the expected milliseconds until the last running call of a model on a replica ends, 0 if none runs. */
     long estimateRemainingMillis(UpstreamId replica, ModelName model) {
         long now = clock.millis();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -64,6 +63,14 @@
 
     private static final long NOT_READY_RETRY_AFTER_MILLIS = 500;
 
+    private static final long NO_MEMORY_RETRY_AFTER_MILLIS = 1_000;
+
+    /** Bodies may take up a quarter of the heap: while one is received or sent, parts of it exist several times. */
+    private static final int HEAP_BYTES_PER_BODY_BYTE = 4;
+
+    /** Keeps the system from enlarging the buffers of sockets whose peers do not read, up to tens of megabytes each. */
+    private static final int SOCKET_BUFFER_BYTES = 256 << 10;
+
     private static final Duration SHORTEST_DELAY = Duration.ofMillis(1);
 
     private final Vertx vertx;
@@ -77,6 +84,8 @@
     private final StallDetector stallDetector;
     private final Timers timers;
     private final LocalResponses localResponses;
+    private final BodyReader bodyReader;
+    private final ShutdownAdmission shutdownAdmission;
     private final Forwarder forwarder;
     private final DemandReporter demandReporter;
     private HttpServer server;
@@ -112,7 +121,10 @@
         this.stallDetector = new StallDetector(context.clock, context.timers);
         this.timers = context.timers;
         this.localResponses = new LocalResponses(shuttingDown);
+        MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_BODY_BYTE);
+        this.bodyReader = new BodyReader(memory, callerConnections, timers);
         HttpClientOptions options = new HttpClientOptions()
+                .setReceiveBufferSize(SOCKET_BUFFER_BYTES)
                 .setKeepAlive(false)
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                 .setDecompressionSupported(false);
@@ -129,14 +141,17 @@
                 callerConnections,
                 localResponses,
                 context.leavingReplicas,
+                memory,
                 new StreamResumption(
                         context.streamVersions, context.servingVersions, context.catalog, context.processCheck),
                 context.metrics);
+        this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
         context.catalog.addChangeListener(forwarder::dispatchWaiting);
         context.catalog.addFailureListener(forwarder::onReplicaFailed);
         context.metrics.registerGauge("tarragonring.calls.in.flight", forwarder::inFlight);
+        context.metrics.registerGauge("tarragonring.bodies.bytes", memory::usedBytes);
         context.metrics.registerGauge(
                 "tarragonring.calls.waiting", () -> forwarder.waiting().size());
     }
@@ -148,6 +163,8 @@
      */
     public CompletableFuture<Void> start() {
         HttpServerOptions options = new HttpServerOptions()
+                .setSendBufferSize(SOCKET_BUFFER_BYTES)
+                .setReceiveBufferSize(SOCKET_BUFFER_BYTES)
                 .setMaxHeaderSize(MAX_PARSED_HEADER_BYTES)
                 .setMaxInitialLineLength(MAX_PARSED_HEADER_BYTES);
         server = vertx.createHttpServer(options)
@@ -176,8 +193,14 @@
                 : server.close().toCompletionStage().toCompletableFuture();
     }
 
-    /** Refuses all calls that wait for a load, now and later; calls already sent to replicas continue. */
-    public void beginShutdown() {
+    /**
+     * Refuses all calls that wait for a load, now and later, and new calls that would not end in time. Calls already sent to
+     * replicas continue.
+     *
+     * @param limit the time after which {@link #stop} is invoked at the latest, not null
+     */
+    public void beginShutdown(Duration limit) {
+        shutdownAdmission.begin(limit);
         forwarder.beginShutdown();
     }
 
@@ -186,6 +209,11 @@
         refusesNewCalls = true;
     }
 
+    /** Ends the calls that have not ended by themselves, each with a response that tells whether it may have run. */
+    public void endCalls() {
+        forwarder.endAll();
+    }
+
     /**
      * Returns the number of calls that have not ended.
      *
@@ -242,10 +270,11 @@
             localResponses.sendError(request, LocalResponses.NOT_FOUND, "no matching route");
             return;
         }
-        readBody(
+        bodyReader.read(
                 request,
                 currentConfig.limits().maxBodyBytes(),
-                body -> forward(request, head, currentConfig, route.get(), body, arrivalMillis));
+                route.get().timeout(),
+                new BodyListener(request, head, currentConfig, route.get(), arrivalMillis));
     }
 
     private void forward(
@@ -254,10 +283,12 @@
             ServingConfig currentConfig,
             Route route,
             Buffer body,
+            MemoryBudget.Reservation memory,
             long arrivalMillis) {
         ServiceName service = route.selectService(random.getAsDouble());
         if (head.model().isPresent()
                 && !isKnown(currentConfig, service, head.model().get())) {
+            memory.release();
             refuseBeforeForwarding(
                     request,
                     head,
@@ -276,9 +307,19 @@
                 route,
                 service,
                 body,
+                memory,
                 arrivalMillis,
                 arrivalMillis + timeoutMillis,
                 arrivalMillis + firstEventTimeoutMillis);
+        if (!shutdownAdmission.admits(exchange)) {
+            memory.release();
+            refuseBeforeForwarding(
+                    request,
+                    head,
+                    "the call may not end before this entry shuts down",
+                    LocalResponses.SHUTDOWN_RETRY_AFTER_MILLIS);
+            return;
+        }
         if (stallDetector.isStalled()) {
             afterPendingInput(() -> forwarder.accept(exchange));
         } else {
@@ -308,20 +349,55 @@
         localResponses.sendUnavailable(request, reason, retryAfterMillis);
     }
 
-    private void readBody(HttpServerRequest request, int maxBytes, Consumer<Buffer> next) {
-        Buffer body = Buffer.buffer();
-        request.handler(bytes -> {
-            callerConnections.onReceived(request.connection());
-            body.appendBuffer(bytes);
-            if (body.length() > maxBytes) {
-                request.handler(null);
-                request.endHandler(null);
-                localResponses.sendError(
-                        request, LocalResponses.TOO_LARGE, "the request body exceeds %d bytes".formatted(maxBytes));
-                request.connection().close();
-            }
-        });
-        request.endHandler(end -> next.accept(body));
+    /** Forwards a call whose body has arrived, or responds to one whose body has not. */
+    private final class BodyListener implements BodyReader.Listener {
+
+        private final HttpServerRequest request;
+        private final CallHead head;
+        private final ServingConfig currentConfig;
+        private final Route route;
+        private final long arrivalMillis;
+
+        BodyListener(
+                HttpServerRequest request,
+                CallHead head,
+                ServingConfig currentConfig,
+                Route route,
+                long arrivalMillis) {
+            this.request = request;
+            this.head = head;
+            this.currentConfig = currentConfig;
+            this.route = route;
+            this.arrivalMillis = arrivalMillis;
+        }
+
+        @Override
+        public void onComplete(Buffer body, MemoryBudget.Reservation memory) {
+            forward(request, head, currentConfig, route, body, memory, arrivalMillis);
+        }
+
+        @Override
+        public void onTooLong() {
+            localResponses.sendError(
+                    request,
+                    LocalResponses.TOO_LARGE,
+                    "the request body exceeds %d bytes"
+                            .formatted(currentConfig.limits().maxBodyBytes()));
+            request.connection().close();
+        }
+
+        @Override
+        public void onNoMemory() {
+            refuseBeforeForwarding(
+                    request, head, "there is no memory for the request body", NO_MEMORY_RETRY_AFTER_MILLIS);
+        }
+
+        @Override
+        public void onTimeout() {
+            LogEvent.CALL_REFUSED.logForCall(head.id(), "body-timeout", "not-run", "the request body is incomplete");
+            localResponses.sendError(
+                    request, LocalResponses.REQUEST_TIMEOUT, "the request body has not arrived in time");
+        }
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -36,6 +36,9 @@
     final ServiceName service;
     final Optional<WeightKey> weights;
     final Buffer body;
+    /** The memory of the body, to be released when the call ends. */
+    final MemoryBudget.Reservation memory;
+
     final long arrivalMillis;
     /** The time at which the whole call times out, on the monotonic clock. */
     final long deadlineMillis;
@@ -85,6 +88,7 @@
             Route route,
             ServiceName service,
             Buffer body,
+            MemoryBudget.Reservation memory,
             long arrivalMillis,
             long deadlineMillis,
             long firstEventDeadlineMillis) {
@@ -94,6 +98,7 @@
         this.service = service;
         this.weights = head.model().map(model -> new WeightKey(service, model, head.adapter()));
         this.body = body;
+        this.memory = memory;
         this.arrivalMillis = arrivalMillis;
         this.deadlineMillis = deadlineMillis;
         this.firstEventDeadlineMillis = firstEventDeadlineMillis;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
@@ -69,8 +71,8 @@
     private final Attempt.Context context;
     private final Map<WeightKey, Integer> arrivals = new HashMap<>();
     private Runnable onWaiting = () -> {};
+    private final Set<Exchange> calls = new HashSet<>();
     private boolean shuttingDown;
-    private int inFlight;
 
     /**
      * Creates a forwarder.
@@ -87,6 +89,7 @@
      * @param callerConnections reports callers that disconnect, not null
      * @param localResponses writes the responses that this entry generates itself, not null
      * @param leavingReplicas receives the announcements of replicas that are about to shut down, not null
+     * @param memory bounds what is kept of responses, not null
      * @param resumption keeps streams at the software version that began them, not null
      * @param metrics records metrics of calls, not null
      */
@@ -103,6 +106,7 @@
             CallerConnections callerConnections,
             LocalResponses localResponses,
             LeavingReplicas leavingReplicas,
+            MemoryBudget memory,
             StreamResumption resumption,
             GatewayMetrics metrics) {
         this.codec = Objects.requireNonNull(codec, "codec");
@@ -128,6 +132,7 @@
                 failureMonitor,
                 localResponses,
                 Objects.requireNonNull(leavingReplicas, "leavingReplicas"),
+                Objects.requireNonNull(memory, "memory"),
                 this);
     }
 
@@ -138,7 +143,7 @@
 
     /** Returns the number of calls that have not ended. */
     int inFlight() {
-        return inFlight;
+        return calls.size();
     }
 
     /** Returns the calls that wait for a model or adapter. */
@@ -164,7 +169,7 @@
 
     /** Starts forwarding a call whose body is complete. */
     void accept(Exchange exchange) {
-        inFlight++;
+        calls.add(exchange);
         budgets.onCall(exchange.service);
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
         scheduleTimeout(exchange, exchange.deadlineMillis);
@@ -262,6 +267,15 @@
         }
     }
 
+    /** Ends all calls, as this entry has no more time. Their callers learn whether the calls may have run. */
+    void endAll() {
+        for (Exchange exchange : List.copyOf(calls)) {
+            if (!exchange.finished) {
+                refuseForShutdown(exchange);
+            }
+        }
+    }
+
     private void refuseForShutdown(Exchange exchange) {
         refuse(exchange, "this entry is shutting down", LocalResponses.SHUTDOWN_RETRY_AFTER_MILLIS);
     }
@@ -437,7 +451,8 @@
 
     private void finish(Exchange exchange, int status, String outcome, String reason) {
         exchange.finished = true;
-        inFlight--;
+        calls.remove(exchange);
+        exchange.memory.release();
         exchange.cancelTimeout.run();
         callerConnections.onCallEnded(exchange.request.connection());
         waiting.remove(exchange);
@@ -480,14 +495,6 @@
 
     private void recordFailedAttempt(Exchange exchange, Verdict verdict, String reason) {
         metrics.countFailedAttempt(verdict.text());
-        String request =
-                verdict == Verdict.NOT_RUN ? "not run" : exchange.fingerprint().value();
-        LogEvent.ATTEMPT_FAILED.logForCall(
-                exchange.head.id(),
-                exchange.replica.id(),
-                request,
-                exchange.head.sharedPromptParts(),
-                verdict.text(),
-                reason);
+        LocalResponses.logAttemptFailed(exchange, verdict, reason);
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LocalResponses.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LocalResponses.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import org.tarragonring.errors.Verdict;
 import org.tarragonring.log.LogEvent;
 
 /** Writes the HTTP responses that this entry generates itself instead of forwarding them from a replica. */
@@ -12,6 +13,7 @@
 
     static final int NOT_FOUND = 404;
     static final int BAD_REQUEST = 400;
+    static final int REQUEST_TIMEOUT = 408;
     static final int TOO_LARGE = 413;
     static final int HEADERS_TOO_LARGE = 431;
     static final int BAD_GATEWAY = 502;
@@ -68,6 +70,19 @@
         }
     }
 
+    /** Logs that a replica did not run a call, or failed while running it. */
+    static void logAttemptFailed(Exchange exchange, Verdict verdict, String reason) {
+        String request =
+                verdict == Verdict.NOT_RUN ? "not run" : exchange.fingerprint().value();
+        LogEvent.ATTEMPT_FAILED.logForCall(
+                exchange.head.id(),
+                exchange.replica.id(),
+                request,
+                exchange.head.sharedPromptParts(),
+                verdict.text(),
+                reason);
+    }
+
     /** Logs the status, outcome and duration of a call that has ended. */
     static void logCallEnded(Exchange exchange, long nowMillis, int status, String outcome, String reason) {
         LogEvent.CALL_ENDED.logForCall(
