Identify the failure of a replica at the entry that detects it

Change: the id is made by the entry that detects a failure, of the replica and the time there, and travels with all reports of it.

--- a/tarragonring-core/src/test/java/org/tarragonring/routing/QuarantineTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/routing/QuarantineTest.java
@@ -59,6 +59,17 @@
         assertFalse(quarantine.isQuarantined(REQUEST));
     }
 
+    // Guards against a failure that counts for each entry that had a short run on the replica.
+    @Test
+    void shortRunsOfSeveralEntriesDuringOneFailureCountOnce() {
+        Suspect suspect = Suspect.ofRequest(REQUEST);
+        UpstreamId replica = new UpstreamId("replica-1");
+        assertTrue(quarantine.recordFailure(new FailedRun(suspect, replica, 498, 500, 1)));
+
+        assertFalse(quarantine.recordFailure(new FailedRun(suspect, replica, 520, 522, 2)));
+        assertEquals(1, quarantine.failureCount(REQUEST));
+    }
+
     @Test
     void failureThatWasReportedUnderAnotherIdIsRecognisedByIt() {
         Suspect suspect = Suspect.ofRequest(REQUEST);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaFailureMonitor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaFailureMonitor.java
@@ -50,7 +50,7 @@
     }
 
     ReplicaRuns.Run onRunStarted(Exchange exchange, ReplicaState replica) {
-        return runs.start(replica.process(), exchange::suspects);
+        return runs.start(replica.id(), exchange::suspects);
     }
 
     /** Handles the end of a run that the replica answered completely or rejected. */
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/quarantine/ReplicaRuns.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/quarantine/ReplicaRuns.java
@@ -15,7 +15,6 @@
 
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.routing.FailedRun;
 import org.tarragonring.routing.Suspect;
 import org.tarragonring.time.MonotonicClock;
@@ -52,15 +51,13 @@
     /**
      * Records the start of a run.
      *
-     * @param process the process of the replica; as each one fails once, its start identifies its failure; not null
+     * @param replica the replica, not null
      * @param suspects computes the request and the parts of its prompt if they are needed, not null
      * @return the run, to be passed to {@link #end}
      */
-    public Run start(ReplicaProcess process, Supplier<List<Suspect>> suspects) {
-        Run run = new Run(process, suspects, clock.millis());
-        runsByReplica
-                .computeIfAbsent(process.replica(), id -> new LinkedHashSet<>())
-                .add(run);
+    public Run start(UpstreamId replica, Supplier<List<Suspect>> suspects) {
+        Run run = new Run(replica, suspects, clock.millis());
+        runsByReplica.computeIfAbsent(replica, id -> new LinkedHashSet<>()).add(run);
         return run;
     }
 
@@ -94,12 +91,13 @@
             return List.of();
         }
         long nowMillis = clock.millis();
+        long failureId = Objects.hash(replica, nowMillis);
         Map<RequestFingerprint, FailedRun> lastRuns = new LinkedHashMap<>();
         for (Run run : runs) {
             for (Suspect suspect : run.suspects.get()) {
                 lastRuns.merge(
                         suspect.fingerprint(),
-                        new FailedRun(suspect, replica, run.startedMillis, nowMillis, run.process.startMillis()),
+                        new FailedRun(suspect, replica, run.startedMillis, nowMillis, failureId),
                         BinaryOperator.maxBy(Comparator.comparingLong(FailedRun::startedMillis)));
             }
         }
@@ -114,7 +112,7 @@
     }
 
     private void remove(Run run) {
-        runsByReplica.computeIfPresent(run.process.replica(), (replica, runs) -> {
+        runsByReplica.computeIfPresent(run.replica, (replica, runs) -> {
             runs.remove(run);
             return runs.isEmpty() ? null : runs;
         });
@@ -123,13 +121,13 @@
     /** A run of a request on a replica. */
     public static final class Run {
 
-        private final ReplicaProcess process;
+        private final UpstreamId replica;
         private final Supplier<List<Suspect>> suspects;
         private final long startedMillis;
         private long endedMillis;
 
-        private Run(ReplicaProcess process, Supplier<List<Suspect>> suspects, long startedMillis) {
-            this.process = Objects.requireNonNull(process, "process");
+        private Run(UpstreamId replica, Supplier<List<Suspect>> suspects, long startedMillis) {
+            this.replica = Objects.requireNonNull(replica, "replica");
             this.suspects = Objects.requireNonNull(suspects, "suspects");
             this.startedMillis = startedMillis;
         }
