--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/quarantine/ReplicaRunsTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/quarantine/ReplicaRunsTest.java
@@ -30,7 +30,8 @@
         advance(Duration.ofMillis(50));
 
         assertEquals(
-                List.of(new FailedRun(Suspect.ofRequest(REQUEST), REPLICA, 1_000, 1_050, failureId(1_050))), runs.takeFailed(REPLICA));
+                List.of(new FailedRun(Suspect.ofRequest(REQUEST), REPLICA, 1_000, 1_050, failureId(1_050))),
+                runs.takeFailed(REPLICA));
     }
 
     @Test
@@ -82,8 +83,8 @@
         List<FailedRun> failed = runs.takeFailed(REPLICA);
 
         assertEquals(5, failed.size());
-        assertTrue(failed.contains(
-                new FailedRun(new Suspect(RequestFingerprint.ofPromptPart("common"), 1), REPLICA, 1_020, 1_020, failureId(1_020))));
+        assertTrue(failed.contains(new FailedRun(
+                new Suspect(RequestFingerprint.ofPromptPart("common"), 1), REPLICA, 1_020, 1_020, failureId(1_020))));
     }
 
     /** The same for all runs that one failure has ended, as far as this entry knows it. */
