Keep reports of demand within a message, and go on reporting after one that fails

Cause: by reading (review, "not tried"): a report of the demand for models with more than about 180 entries exceeds a datagram, its encoding throws, and the next report was scheduled only after that, so that the planner never learned of the entry's demand again.

Change: the next report is scheduled first, and a report holds the 120 most urgent demands; TRNG000425 tells of the rest.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.log.LogEvent;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
@@ -30,6 +32,9 @@
  */
 final class DemandReporter {
 
+    /** A demand takes up about 50 bytes of a message, which has at most 8,192. */
+    private static final int MAX_DEMANDS_PER_REPORT = 120;
+
     /** The interval between reports while calls wait. */
     private static final Duration REPORT_PERIOD = Duration.ofMillis(100);
 
@@ -96,9 +101,9 @@
         if (stopped) {
             return;
         }
-        report();
         boolean isIdle = forwarder.waiting().size() == 0;
         nextReport = timers.schedule(isIdle ? IDLE_REPORT_PERIOD : REPORT_PERIOD, this::onPeriod);
+        report();
     }
 
     private void report() {
@@ -133,7 +138,22 @@
             return;
         }
         lastReportEmpty = isEmpty;
-        mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(demands, unreachable));
+        List<PeerMessage.WeightDemand> mostUrgent = mostUrgent(demands);
+        if (mostUrgent.size() < demands.size()) {
+            LogEvent.DEMAND_TRUNCATED.log(mostUrgent.size(), demands.size());
+        }
+        mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(mostUrgent, unreachable));
+    }
+
+    /** Returns as many demands as fit into one message: those with the most waiting calls, then the most running ones. */
+    static List<PeerMessage.WeightDemand> mostUrgent(List<PeerMessage.WeightDemand> demands) {
+        return demands.stream()
+                .sorted(Comparator.comparingInt(PeerMessage.WeightDemand::waiting)
+                        .thenComparingInt(PeerMessage.WeightDemand::arrivals)
+                        .thenComparingInt(PeerMessage.WeightDemand::running)
+                        .reversed())
+                .limit(MAX_DEMANDS_PER_REPORT)
+                .toList();
     }
 
     private void addWaiting(Map<ModelKey, ModelDemand> demandByModel, WeightKey key) {
