Read the record of software versions again after a failed request

All 24 refusals at entries in touch say that the version is not known, right after "versions not read: no complete response within 900 ms": one slow request to the store refused every caller that waited for it, while the callers' own deadlines were seconds away. Change: the record is asked for three times, 300 ms apart, before callers are told that it is not known. Requests still share one read. Ruled out: keeping what was read at the start, as an entry that is cut off later would not see a version that joins and leaves meanwhile.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -53,6 +53,12 @@
     /** How long an entry waits after its start, until it knows which entry is responsible. */
     static final Duration SETTLE_TIME = Duration.ofSeconds(3);
 
+    /** How often the record is asked for before callers are told that it is not known. */
+    static final int READ_ATTEMPTS = 3;
+
+    /** The time between two attempts, so that a store that rejects requests at once is not asked three times at once. */
+    static final Duration READ_RETRY_DELAY = Duration.ofMillis(300);
+
     private final ObjectStore store;
     private final ReplicaCatalog catalog;
     private final CurrentReplicas currentReplicas;
@@ -221,14 +227,22 @@
         return pendingRead.orElseGet(() -> {
             CompletableFuture<Optional<Recorded>> response = new CompletableFuture<>();
             pendingRead = Optional.of(response);
-            store.read(KEY).subscribe().with(object -> onRead(response, Optional.of(decode(object))), failure -> {
-                LogEvent.DEPENDENCY_STATE.log("store", false, "versions not read: " + failure.getMessage());
-                onRead(response, Optional.empty());
-            });
+            read(response, READ_ATTEMPTS);
             return response;
         });
     }
 
+    private void read(CompletableFuture<Optional<Recorded>> response, int attemptsLeft) {
+        store.read(KEY).subscribe().with(object -> onRead(response, Optional.of(decode(object))), failure -> {
+            LogEvent.DEPENDENCY_STATE.log("store", false, "versions not read: " + failure.getMessage());
+            if (attemptsLeft > 1) {
+                timers.schedule(READ_RETRY_DELAY, () -> read(response, attemptsLeft - 1));
+            } else {
+                onRead(response, Optional.empty());
+            }
+        });
+    }
+
     private void onRead(CompletableFuture<Optional<Recorded>> response, Optional<Recorded> record) {
         pendingRead = Optional.empty();
         record.ifPresent(known -> known.versions.forEach((service, versions) -> versions.forEach(
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
@@ -18,12 +18,18 @@
     private final Map<String, StoredObject> objects = new TreeMap<>();
     private long revision = 100;
     private int writeCount;
+    private int failingReads;
 
     /** Creates or replaces an object, as another writer does. */
     public void put(String key, byte[] value) {
         objects.put(key, new StoredObject(key, ++revision, value));
     }
 
+    /** Lets the next reads of single objects fail. */
+    public void failReads(int count) {
+        failingReads = count;
+    }
+
     /** Returns the number of conditional writes, also of those that were rejected. */
     public int writeCount() {
         return writeCount;
@@ -36,6 +42,11 @@
 
     @Override
     public Uni<Optional<StoredObject>> read(String key) {
+        if (failingReads > 0) {
+            failingReads--;
+            return Uni.createFrom()
+                    .failure(new StoreException(StoreException.Kind.UNAVAILABLE, "no response for " + key));
+        }
         return Uni.createFrom().item(Optional.ofNullable(objects.get(key)));
     }
 
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.Test;
 import org.tarragonring.gateway.ManualTime;
@@ -83,6 +84,35 @@
         assertEquals(V2, entry.onlyVersion());
     }
 
+    // Guards against streams that end because one request to a slow store failed.
+    @Test
+    void recordIsReadAgainIfTheStoreDoesNotRespond() {
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        restart();
+        entry.list("old-1", "v1");
+
+        store.failReads(ServingVersions.READ_ATTEMPTS - 1);
+        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
+        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+
+        assertEquals(V1, version.getNow(Optional.empty()));
+    }
+
+    @Test
+    void versionIsNotKnownIfTheStoreDoesNotRespondAtAll() {
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        restart();
+        entry.list("old-1", "v1");
+
+        store.failReads(ServingVersions.READ_ATTEMPTS);
+        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
+        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+
+        assertEquals(Optional.empty(), version.getNow(V2));
+    }
+
     @Test
     void versionThatIsListedButNotRecordedYetCounts() {
         entry.list("old-1", "v1");
