Keep a replica leaving that starts again and leaves at once

Cause, found on reading the diff: while a replica was leaving, news that its next process leaves as well was taken for known, and the registration of that process, which may be older than the news, put the replica back. Change: the start of the newest process that leaves is kept. Measured: the new test fails without the change (1 of ReplicaStateTest).

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -145,7 +145,7 @@
         mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(mostUrgent, unreachable));
     }
 
-    /** Returns as many demands as fit into one message: those with the most waiting calls, then the most running ones. */
+    /** Returns as many demands as fit into one message: those with the most calls that wait, arrive and run. */
     static List<PeerMessage.WeightDemand> mostUrgent(List<PeerMessage.WeightDemand> demands) {
         return demands.stream()
                 .sorted(Comparator.comparingInt(PeerMessage.WeightDemand::waiting)
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaAvailability.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaAvailability.java
@@ -52,7 +52,8 @@
      * @return true if this was not known; false also if the replica has started again since
      */
     public boolean onLeaving(long startMillis) {
-        if (leaving || startMillis < newestStartMillis) {
+        boolean isKnown = leaving && startMillis <= leavingStartMillis;
+        if (isKnown || startMillis < newestStartMillis) {
             return false;
         }
         leaving = true;
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -203,6 +203,18 @@
         assertFalse(state.availability().onLeaving(PROCESS_START_MILLIS), "told by the process before");
     }
 
+    // Guards against a registration, older than the news, that puts a replica back which starts again and leaves at
+    // once.
+    @Test
+    void registrationOfAProcessThatIsLeavingItselfDoesNotPutTheReplicaBack() {
+        state.availability().onLeaving(PROCESS_START_MILLIS);
+
+        assertTrue(state.availability().onLeaving(PROCESS_START_MILLIS + 1));
+        state.onListed(listed(PROCESS_START_MILLIS + 1, Set.of()), true);
+
+        assertTrue(state.availability().isLeaving());
+    }
+
     @Test
     void pauseEndsAfterItsTimeOrWithTheProcess() {
         state.availability().pauseFor(Duration.ofSeconds(2));
