--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/MemoryBudget.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/MemoryBudget.java
@@ -2,7 +2,7 @@
 
 /**
  * Bounds the memory that the bodies of all calls take up together: request bodies, and responses that are kept until they
- * are complete. Without a bound, many large bodies at once would use up the heap, and the process would serve nobody.
+ * are complete. Without a bound, many large bodies at once would use up the heap, and the process would serve no caller.
  *
  * <p>Not thread-safe.
  */
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
@@ -63,7 +63,7 @@
         assertFalse(first.isHeld());
     }
 
-    // Guards against a group that nobody can take over, and against a fencing token lower than one already used.
+    // Guards against a group that no entry can take over, and against a fencing token lower than one already used.
     @Test
     void recordThatCannotBeReadIsTakenOverWithAHigherFence() {
         first.acquire(Optional.empty()).await().indefinitely();
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -24,7 +24,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /**
- * After all entries have started again, nobody knows which version of the replicas' software began a stream. A guess may
+ * After all entries have started again, none knows which version of the replicas' software began a stream. A guess may
  * join what two versions write, and a refusal strands the streams of a service that has one version only.
  */
 class ServingVersionsTest {
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/replica/ReplicaStateTest.java
@@ -203,8 +203,7 @@
         assertFalse(state.availability().onLeaving(PROCESS_START_MILLIS), "told by the process before");
     }
 
-    // Guards against a registration, older than the news, that puts a replica back which starts again and leaves at
-    // once.
+    // Guards against a late registration that puts back a replica which started again and is to shut down again.
     @Test
     void registrationOfAProcessThatIsLeavingItselfDoesNotPutTheReplicaBack() {
         state.availability().onLeaving(PROCESS_START_MILLIS);
