Count a missing record of software versions as an unknown past

Cause: a missing or unreadable record was read as an empty one. The entry responsible for it completed it from the present list 3 s after its start; from then on it counted as the whole past. A record is missing where entries of an earlier release served before, or where the entries were killed within 3 s of their first start.

Change: a record is created by the first entries of a deployment, before any of them acquires an order lease. A record that is missing although leases exist, or that cannot be read, is replaced by one that says for each service that an unknown version may have begun streams; that is removed like a version that has left. What the entry has seen itself lately is recorded too. The entry that becomes responsible reads the record first; the time since when a version is known ends when the version is removed, so that one that returns is not removed at once. An unreadable record is replaced at once, as the new one no longer claims to be complete; before, each take-up put its replacement off.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -205,18 +205,18 @@
         replicaWatcher.start();
         quarantine.start();
         streamVersions.start();
-        servingVersions.start();
+        CompletableFuture<Void> versionsRead = servingVersions.start();
         started = mesh.start()
                 .thenCompose(peer -> shuttingDown ? CompletableFuture.completedFuture(null) : server.start())
-                .thenRun(() -> onListening(startMillis));
+                .thenRun(() -> onListening(startMillis, versionsRead));
         return started;
     }
 
-    private void onListening(long startMillis) {
+    private void onListening(long startMillis, CompletableFuture<Void> versionsRead) {
         if (shuttingDown) {
             return;
         }
-        leaseManager.start();
+        versionsRead.thenRun(this::startLeases);
         loadRouter.start();
         planning.start();
         LogEvent.GATEWAY_STARTED.log(
@@ -227,6 +227,13 @@
         joinWhenReady();
     }
 
+    /** Starts to acquire order leases; their records show that entries have served. */
+    private void startLeases() {
+        if (!shuttingDown) {
+            leaseManager.start();
+        }
+    }
+
     /**
      * Shuts down gracefully: directs callers to other entries, refuses waiting calls, releases the order leases and
      * waits until the calls in flight have ended or the shutdown limit has passed. May be invoked at any time, also
@@ -333,6 +340,7 @@
                 store,
                 catalog,
                 new CurrentReplicas(store, dependencies.replicaPrefix(), dependencies.replicaDecoder()),
+                GroupLease.KEY_PREFIX,
                 () -> mesh.entryFor(ServingVersions.DUTY).equals(settings.id()),
                 () -> config.map(ServingConfig::longestStreamTimeout)
                         .orElse(Duration.ZERO)
@@ -388,7 +396,7 @@
     }
 
     private boolean canServe() {
-        return config.isPresent() && replicaWatcher.isListed() && quarantine.isListed();
+        return config.isPresent() && replicaWatcher.isListed() && quarantine.isListed() && servingVersions.isRead();
     }
 
     /** Waits until the calls in flight have ended and callers have stopped to use this entry, if it has joined. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -119,15 +120,19 @@
     }
 
     /**
-     * Returns when a replica of a version was last listed.
+     * Returns the versions of which a replica was listed lately.
      *
-     * @param service the service, not null
-     * @param version the version of the software, not null
-     * @return the time on the monotonic clock in milliseconds, empty if this entry has never seen such a replica
+     * @param sinceMillis a time on the monotonic clock in milliseconds
+     * @return the versions of each service that were last seen after that time; a new map
      */
-    public Optional<Long> lastListedMillis(ServiceName service, SoftwareVersion version) {
-        return Optional.ofNullable(
-                versionsSeenMillis.getOrDefault(service, Map.of()).get(version));
+    public Map<ServiceName, Set<SoftwareVersion>> versionsListedSince(long sinceMillis) {
+        Map<ServiceName, Set<SoftwareVersion>> versions = new HashMap<>();
+        versionsSeenMillis.forEach((service, seen) -> seen.forEach((version, seenMillis) -> {
+            if (seenMillis > sinceMillis) {
+                versions.computeIfAbsent(service, name -> new HashSet<>()).add(version);
+            }
+        }));
+        return versions;
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
@@ -30,7 +30,7 @@
 public final class GroupLease {
 
     /** The key prefix of the lease records in the object store. */
-    static final String KEY_PREFIX = "tarragonring-order-leases/";
+    public static final String KEY_PREFIX = "tarragonring-order-leases/";
 
     /**
      * The time for which an acquisition or renewal is valid. After a lease holder has failed, its groups get no orders
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -13,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
+import io.smallrye.mutiny.Uni;
 import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.ids.ServiceName;
@@ -31,9 +33,13 @@
  * runs: those that are listed, and those that were until no stream of theirs can run any more. Entries that have all
  * started again know no stream, but if a single version is recorded, it has begun all of them.
  *
+ * <p>A version is recorded before an entry begins a stream at it. If the record is missing although entries have served
+ * before, or cannot be read, the new one says for each service that an unknown version may have begun streams, until none
+ * of them can run any more.
+ *
  * <p>The record contains no times, as the clocks of entries differ: the entry that is responsible for it removes a version
- * when it has itself not seen the version for long enough. The record is written when a version joins and when it is
- * removed, and read when a caller takes up a stream that no entry knows.
+ * when it has itself not seen the version for long enough. The record is read when an entry starts and when a caller
+ * takes up a stream that no entry knows, and written when a version joins and when it is removed.
  *
  * <p>Not thread-safe.
  *
@@ -41,43 +47,56 @@
  */
 public final class ServingVersions {
 
-    /** The name of the duty to keep the record. */
+    /** The name of the duty to remove versions from the record. */
     public static final String DUTY = "software-versions";
 
     /** The store key of the record. */
     static final String KEY = "tarragonring-software/versions";
 
+    /** Stands in the record for versions that are not known, as replicas that tell no version do in their list. */
+    static final SoftwareVersion UNKNOWN = new SoftwareVersion("");
+
     /** The time between checks whether the record is up to date. */
     static final Duration CHECK_PERIOD = Duration.ofSeconds(1);
 
     /** How long an entry waits after its start, until it knows which entry is responsible. */
     static final Duration SETTLE_TIME = Duration.ofSeconds(3);
 
-    /** How often the record is asked for before callers are told that it is not known. */
+    /** How often the store is asked before callers are told that something is not known. */
     static final int READ_ATTEMPTS = 3;
 
     /** The time between two attempts, so that a store that rejects requests at once is not asked three times at once. */
     static final Duration READ_RETRY_DELAY = Duration.ofMillis(300);
 
+    /** How often a write is tried that is overtaken by one of another entry, or whose response is lost. */
+    private static final int WRITE_ATTEMPTS = 3;
+
     private final ObjectStore store;
     private final ReplicaCatalog catalog;
     private final CurrentReplicas currentReplicas;
+    private final String traceOfServing;
     private final BooleanSupplier responsible;
     private final Supplier<Duration> longestStream;
     private final MonotonicClock clock;
     private final Timers timers;
 
-    /** When this entry first read of each version; one that it has not seen itself may have left just before. */
+    /** When this entry first read of each recorded version; one that it has not seen itself may have left just before. */
     private final Map<ServiceVersion, Long> firstReadMillis = new HashMap<>();
 
-    /** What this entry has read or written last; empty if it must be read again. */
+    /** What this entry has read or written last; empty before the first response of the store. */
     private Optional<Recorded> recorded = Optional.empty();
 
     private Optional<CompletableFuture<Optional<Recorded>>> pendingRead = Optional.empty();
-    private boolean requestInProgress;
+    private Optional<CompletableFuture<Void>> pendingUpdate = Optional.empty();
+    /** The recorded versions of which a replica has been listed since; the responsible entry does not remove them. */
+    private final Set<ServiceVersion> confirmed = new HashSet<>();
+
+    private boolean wasResponsible;
+    private boolean stopped;
+    private Optional<Long> listOutOfDateSinceMillis = Optional.empty();
     private long startedMillis;
-    private long writableMillis = Long.MIN_VALUE;
     private Timers.Task checks = () -> {};
+    private final CompletableFuture<Void> started = new CompletableFuture<>();
 
     /**
      * Creates an instance that is not started.
@@ -85,7 +104,8 @@
      * @param store keeps the record, not null
      * @param catalog the listed replicas, not null
      * @param currentReplicas reads the listed replicas if the catalog may be out of date, not null
-     * @param responsible returns whether this entry keeps the record up to date, not null
+     * @param traceOfServing the prefix of keys that the store contains if entries have served before, not null
+     * @param responsible returns whether this entry removes versions from the record, not null
      * @param longestStream returns how long after a version has left a stream that it began may run, not null
      * @param clock the monotonic clock, not null
      * @param timers schedules the checks, not null
@@ -94,6 +114,7 @@
             ObjectStore store,
             ReplicaCatalog catalog,
             CurrentReplicas currentReplicas,
+            String traceOfServing,
             BooleanSupplier responsible,
             Supplier<Duration> longestStream,
             MonotonicClock clock,
@@ -101,23 +122,65 @@
         this.store = Objects.requireNonNull(store, "store");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.currentReplicas = Objects.requireNonNull(currentReplicas, "currentReplicas");
+        this.traceOfServing = Objects.requireNonNull(traceOfServing, "traceOfServing");
         this.responsible = Objects.requireNonNull(responsible, "responsible");
         this.longestStream = Objects.requireNonNull(longestStream, "longestStream");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
     }
 
-    /** Starts to keep the record up to date whenever this entry is responsible for it. */
-    public void start() {
+    /**
+     * Reads the record, creates it if nothing has been served yet, and starts to keep it up to date.
+     *
+     * @return a future that completes when the record is read; other records that show that entries have served may be
+     *     written only after that
+     */
+    public CompletableFuture<Void> start() {
         startedMillis = clock.millis();
         checks = timers.scheduleWithFixedDelay(CHECK_PERIOD, this::check);
+        readAtStart();
+        return started;
     }
 
     /** Stops writing the record. */
     public void stop() {
+        stopped = true;
         checks.cancel();
     }
 
+    /**
+     * Checks whether this entry has read the record. Streams may begin only after that.
+     *
+     * @return false until the store has responded
+     */
+    public boolean isRead() {
+        return started.isDone();
+    }
+
+    /**
+     * Checks whether a version is recorded, so that it may begin streams.
+     *
+     * @param service the service, not null
+     * @param version the version of the software, not null
+     * @return false if this entry does not know that it is
+     */
+    public boolean isRecorded(ServiceName service, SoftwareVersion version) {
+        return confirmed.contains(new ServiceVersion(service, version));
+    }
+
+    /**
+     * Records a listed version unless that has been done.
+     *
+     * @param service the service, not null
+     * @param version the version of the software, not null
+     * @return whether the version is recorded now; never fails
+     */
+    public CompletableFuture<Boolean> record(ServiceName service, SoftwareVersion version) {
+        return isRecorded(service, version)
+                ? CompletableFuture.completedFuture(true)
+                : update().thenApply(done -> isRecorded(service, version));
+    }
+
     /**
      * Finds the version of the software that began all running streams of a service.
      *
@@ -126,9 +189,10 @@
      */
     public CompletableFuture<Optional<SoftwareVersion>> onlyVersion(ServiceName service) {
         return listedVersions(service)
-                .thenCompose(listed -> listed.isEmpty()
-                        ? CompletableFuture.completedFuture(Optional.empty())
-                        : read().thenApply(record -> onlyVersion(record, service, listed.get())));
+                .thenCombine(
+                        retry(this::read, READ_ATTEMPTS),
+                        (listed, record) ->
+                                listed.isPresent() ? onlyVersion(record, service, listed.get()) : Optional.empty());
     }
 
     private static Optional<SoftwareVersion> onlyVersion(
@@ -137,9 +201,8 @@
                 new TreeSet<>(record.map(known -> known.of(service)).orElse(Set.of()));
         boolean isKnown = !versions.isEmpty();
         versions.addAll(listed);
-        return isKnown && versions.size() == 1
+        return isKnown && versions.size() == 1 && !versions.contains(UNKNOWN)
                 ? Optional.of(versions.iterator().next())
-                        .filter(version -> !version.value().isEmpty())
                 : Optional.empty();
     }
 
@@ -169,57 +232,137 @@
         return versions;
     }
 
+    private void readAtStart() {
+        update().thenRun(() -> {
+            if (recorded.isPresent()) {
+                started.complete(null);
+            } else if (!stopped) {
+                timers.schedule(READ_RETRY_DELAY, this::readAtStart);
+            }
+        });
+    }
+
     private void check() {
-        boolean isSettled = clock.millis() - startedMillis >= SETTLE_TIME.toMillis();
-        if (!isSettled || requestInProgress || !catalog.isListCurrent() || !responsible.getAsBoolean()) {
+        if (stopped || !isRead() || !isListCurrent()) {
             return;
         }
-        if (recorded.isEmpty()) {
-            requestInProgress = true;
-            read().thenAccept(record -> {
-                requestInProgress = false;
-                recorded = record;
-            });
-            return;
+        confirmed.retainAll(pairs(listedVersions()));
+        boolean isSettled = clock.millis() - startedMillis >= SETTLE_TIME.toMillis();
+        boolean isResponsible = isSettled && responsible.getAsBoolean();
+        boolean hasTakenOver = isResponsible && !wasResponsible;
+        wasResponsible = isResponsible;
+        Recorded known = recorded.orElseThrow();
+        if (hasTakenOver || isResponsible && !isUpToDate(known, wantedVersions(known))) {
+            update();
         }
-        Map<ServiceName, Set<SoftwareVersion>> wanted = wantedVersions(recorded.get());
-        if (clock.millis() >= writableMillis && !wanted.equals(recorded.get().versions)) {
-            write(recorded.get().objectVersion, wanted);
+    }
+
+    /** Checks the list, and reads the record again after the list was out of date for so long that versions may have left. */
+    private boolean isListCurrent() {
+        if (!catalog.isListCurrent()) {
+            listOutOfDateSinceMillis = listOutOfDateSinceMillis.or(() -> Optional.of(clock.millis()));
+            return false;
         }
+        long goneMillis = clock.millis() - longestStream.get().toMillis();
+        if (listOutOfDateSinceMillis.filter(since -> since <= goneMillis).isPresent()) {
+            read();
+        }
+        listOutOfDateSinceMillis = Optional.empty();
+        return true;
+    }
+
+    private static boolean isUpToDate(Recorded record, Map<ServiceName, Set<SoftwareVersion>> wanted) {
+        return wanted.equals(record.versions) && !(record.isAbsent() && record.isComplete);
     }
 
+    /** Reads the record and writes it if it is not up to date; requests that overlap share one update. Never fails. */
+    private CompletableFuture<Void> update() {
+        return pendingUpdate.orElseGet(() -> {
+            CompletableFuture<Void> update = new CompletableFuture<>();
+            pendingUpdate = Optional.of(update);
+            update(WRITE_ATTEMPTS).thenRun(() -> {
+                pendingUpdate = Optional.empty();
+                update.complete(null);
+            });
+            return update;
+        });
+    }
+
+    private CompletableFuture<Void> update(int attemptsLeft) {
+        if (stopped) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return retry(this::read, READ_ATTEMPTS).thenCompose(record -> {
+            if (record.isEmpty() || stopped) {
+                return CompletableFuture.completedFuture(null);
+            }
+            Map<ServiceName, Set<SoftwareVersion>> wanted = wantedVersions(record.get());
+            return isUpToDate(record.get(), wanted)
+                    ? CompletableFuture.completedFuture(null)
+                    : write(record.get().objectVersion, wanted)
+                            .thenCompose(isWritten -> isWritten || attemptsLeft == 1
+                                    ? CompletableFuture.completedFuture(null)
+                                    : update(attemptsLeft - 1));
+        });
+    }
+
+    /** Returns what is to be recorded: the versions that this entry has seen or read of, unless they left long ago. */
     private Map<ServiceName, Set<SoftwareVersion>> wantedVersions(Recorded record) {
-        Map<ServiceName, Set<SoftwareVersion>> wanted = listedVersions();
         long goneMillis = clock.millis() - longestStream.get().toMillis();
-        record.versions.forEach((service, versions) -> {
-            for (SoftwareVersion version : versions) {
-                long lastSeenMillis = catalog.lastListedMillis(service, version)
-                        .or(() -> Optional.ofNullable(firstReadMillis.get(new ServiceVersion(service, version))))
-                        .orElse(Long.MIN_VALUE);
-                if (lastSeenMillis > goneMillis) {
-                    wanted.computeIfAbsent(service, name -> new TreeSet<>()).add(version);
-                }
+        Map<ServiceName, Set<SoftwareVersion>> wanted = listedVersions();
+        catalog.versionsListedSince(goneMillis)
+                .forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
+        if (!record.isComplete) {
+            wanted.forEach((service, versions) -> versions.add(UNKNOWN));
+        }
+        record.versions.forEach((service, versions) -> versions.forEach(version -> {
+            boolean mayBeListed = !catalog.isListCurrent();
+            if (mayBeListed || firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis) {
+                add(wanted, service, version);
             }
-        });
+        }));
         return wanted;
     }
 
-    private void write(long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions) {
-        requestInProgress = true;
+    private static void add(
+            Map<ServiceName, Set<SoftwareVersion>> versions, ServiceName service, SoftwareVersion version) {
+        versions.computeIfAbsent(service, name -> new TreeSet<>()).add(version);
+    }
+
+    /**
+     * Writes the record. Never fails.
+     *
+     * @return false if another entry has written it meanwhile, or the store does not confirm that it is written
+     */
+    private CompletableFuture<Boolean> write(long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions) {
+        CompletableFuture<Boolean> isWritten = new CompletableFuture<>();
         store.write(KEY, objectVersion, Json.write(VersionRecord.of(versions)))
                 .subscribe()
                 .with(
                         newVersion -> {
-                            requestInProgress = false;
-                            recorded = Optional.of(new Recorded(newVersion, versions));
+                            know(new Recorded(newVersion, versions, true));
                             LogEvent.SERVING_VERSIONS_RECORDED.log(versions);
+                            isWritten.complete(true);
                         },
                         failure -> {
-                            requestInProgress = false;
-                            recorded = Optional.empty();
                             LogEvent.DEPENDENCY_STATE.log(
                                     "store", false, "versions not recorded: " + failure.getMessage());
+                            isWritten.complete(false);
                         });
+        return isWritten;
+    }
+
+    private <T> CompletableFuture<Optional<T>> retry(
+            Supplier<CompletableFuture<Optional<T>>> request, int attemptsLeft) {
+        return request.get().thenCompose(response -> {
+            if (response.isPresent() || attemptsLeft == 1 || stopped) {
+                return CompletableFuture.completedFuture(response);
+            }
+            CompletableFuture<Void> delay = new CompletableFuture<>();
+            timers.schedule(READ_RETRY_DELAY, () -> delay.complete(null));
+            return delay.thenCompose(
+                    done -> stopped ? CompletableFuture.completedFuture(response) : retry(request, attemptsLeft - 1));
+        });
     }
 
     /** Reads the record; requests that overlap share one call to the store. Empty if the store does not respond. */
@@ -227,48 +370,78 @@
         return pendingRead.orElseGet(() -> {
             CompletableFuture<Optional<Recorded>> response = new CompletableFuture<>();
             pendingRead = Optional.of(response);
-            read(response, READ_ATTEMPTS);
+            store.read(KEY)
+                    .flatMap(object ->
+                            object.isPresent() ? Uni.createFrom().item(decode(object.get())) : readTraceOfServing())
+                    .subscribe()
+                    .with(record -> onRead(response, Optional.of(record)), failure -> {
+                        LogEvent.DEPENDENCY_STATE.log("store", false, "versions not read: " + failure.getMessage());
+                        onRead(response, Optional.empty());
+                    });
             return response;
         });
     }
 
-    private void read(CompletableFuture<Optional<Recorded>> response, int attemptsLeft) {
-        store.read(KEY).subscribe().with(object -> onRead(response, Optional.of(decode(object))), failure -> {
-            LogEvent.DEPENDENCY_STATE.log("store", false, "versions not read: " + failure.getMessage());
-            if (attemptsLeft > 1) {
-                timers.schedule(READ_RETRY_DELAY, () -> read(response, attemptsLeft - 1));
-            } else {
-                onRead(response, Optional.empty());
-            }
-        });
+    /** Finds out whether the record is missing because nothing has been served yet. */
+    private Uni<Recorded> readTraceOfServing() {
+        if (recorded.isPresent() || stopped) {
+            boolean hasNeverServed = recorded.filter(Recorded::isAbsent)
+                    .map(Recorded::isComplete)
+                    .orElse(false);
+            return Uni.createFrom().item(Recorded.absent(hasNeverServed));
+        }
+        return store.list(traceOfServing).map(traces -> Recorded.absent(traces.isEmpty()));
     }
 
     private void onRead(CompletableFuture<Optional<Recorded>> response, Optional<Recorded> record) {
         pendingRead = Optional.empty();
-        record.ifPresent(known -> known.versions.forEach((service, versions) -> versions.forEach(
-                version -> firstReadMillis.putIfAbsent(new ServiceVersion(service, version), clock.millis()))));
+        record.ifPresent(this::know);
         response.complete(record);
     }
 
-    /** Decodes the record. What an unreadable one contained may still matter, so it is not replaced for some time. */
-    private Recorded decode(Optional<StoredObject> object) {
-        if (object.isEmpty()) {
-            return new Recorded(ObjectStore.ABSENT_VERSION, Map.of());
-        }
+    private void know(Recorded record) {
+        Set<ServiceVersion> known = pairs(record.versions);
+        firstReadMillis.keySet().retainAll(known);
+        known.forEach(version -> firstReadMillis.putIfAbsent(version, clock.millis()));
+        confirmed.clear();
+        confirmed.addAll(known);
+        recorded = Optional.of(record);
+    }
+
+    private static Set<ServiceVersion> pairs(Map<ServiceName, Set<SoftwareVersion>> versions) {
+        Set<ServiceVersion> pairs = new HashSet<>();
+        versions.forEach((service, each) -> each.forEach(version -> pairs.add(new ServiceVersion(service, version))));
+        return pairs;
+    }
+
+    private static Recorded decode(StoredObject object) {
         try {
-            VersionRecord record = Json.read(object.get().value(), VersionRecord.class);
-            return new Recorded(object.get().version(), record.toVersions());
-        } catch (RuntimeException e) {
+            VersionRecord record = Json.read(object.value(), VersionRecord.class);
+            return new Recorded(object.version(), record.toVersions(), true);
+        } catch (RuntimeException | StackOverflowError e) {
             LogEvent.STORED_OBJECT_INVALID.log(KEY, "services", "cannot be read: " + e.getMessage());
-            writableMillis = Math.max(
-                    writableMillis, clock.millis() + longestStream.get().toMillis());
-            return new Recorded(object.get().version(), Map.of());
+            return new Recorded(object.version(), Map.of(), false);
         }
     }
 
     private record ServiceVersion(ServiceName service, SoftwareVersion version) {}
 
-    private record Recorded(long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions) {
+    /**
+     * The record as it is stored.
+     *
+     * @param objectVersion the version of the object in the store
+     * @param versions the recorded versions of each service
+     * @param isComplete whether all versions that may have begun streams were recorded
+     */
+    private record Recorded(long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions, boolean isComplete) {
+
+        static Recorded absent(boolean isComplete) {
+            return new Recorded(ObjectStore.ABSENT_VERSION, Map.of(), isComplete);
+        }
+
+        boolean isAbsent() {
+            return objectVersion == ObjectStore.ABSENT_VERSION;
+        }
 
         Set<SoftwareVersion> of(ServiceName service) {
             return versions.getOrDefault(service, Set.of());
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -22,6 +22,8 @@
 import org.tarragonring.routing.Ejections;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
  * After all entries have started again, none knows which version of the replicas' software began a stream. A guess may
@@ -33,6 +35,11 @@
     private static final Duration LONGEST_STREAM = Duration.ofSeconds(16);
     private static final Duration CHECKED =
             ServingVersions.SETTLE_TIME.plus(ServingVersions.CHECK_PERIOD.multipliedBy(3));
+    private static final String TRACES = "leases/";
+
+    /** The number of writes that create the record when the first entry of a deployment starts. */
+    private static final int CREATION = 1;
+
     private static final Optional<SoftwareVersion> V1 = Optional.of(new SoftwareVersion("v1"));
     private static final Optional<SoftwareVersion> V2 = Optional.of(new SoftwareVersion("v2"));
 
@@ -161,6 +168,109 @@
         assertEquals(V1, entry.onlyVersion());
     }
 
+    // Guards against the versions that are listed now being taken for all that may have begun streams, though entries
+    // have
+    // served without a record, as those of an earlier release do.
+    @Test
+    void missingRecordSaysNothingIfEntriesHaveServedBefore() {
+        store.delete(ServingVersions.KEY, 0).await().indefinitely();
+        store.put(TRACES + "group-1", new byte[0]);
+        restart();
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+        assertEquals(Optional.empty(), entry.onlyVersion());
+
+        time.advance(LONGEST_STREAM);
+
+        assertEquals(V2, entry.onlyVersion());
+    }
+
+    // Guards against the same guess after another writer has deleted the record.
+    @Test
+    void deletedRecordIsReplacedByWhatThisEntryHasSeen() {
+        entry.list("old-1", "v1");
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+        entry.catalog.remove(new UpstreamId("old-1"));
+        store.delete(ServingVersions.KEY, 0).await().indefinitely();
+        assertEquals(Optional.empty(), entry.onlyVersion());
+        time.advance(CHECKED);
+        assertEquals(Optional.empty(), entry.onlyVersion());
+
+        restart();
+        entry.list("new-1", "v2");
+
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    // Guards against streams of a version that nothing in the store tells of when all entries have been killed.
+    @Test
+    void versionIsRecordedBeforeItsFirstStreamByAnyEntry() {
+        responsible = false;
+        entry.list("old-1", "v1");
+        assertFalse(entry.versions.isRecorded(SERVICE, V1.orElseThrow()));
+
+        assertTrue(entry.versions.record(SERVICE, V1.orElseThrow()).join());
+
+        assertTrue(entry.versions.isRecorded(SERVICE, V1.orElseThrow()));
+        restart();
+        entry.list("new-1", "v2");
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    @Test
+    void versionIsNotRecordedIfTheStoreDoesNotRespond() {
+        entry.list("old-1", "v1");
+        store.failReads(ServingVersions.READ_ATTEMPTS);
+
+        CompletableFuture<Boolean> recorded = entry.versions.record(SERVICE, V1.orElseThrow());
+        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+
+        assertFalse(recorded.getNow(true));
+        assertTrue(entry.versions.record(SERVICE, V1.orElseThrow()).join());
+    }
+
+    // Guards against a version that has been removed from the record meanwhile, as another entry no longer saw it.
+    @Test
+    void versionThatReturnsIsRecordedAgain() {
+        responsible = false;
+        entry.list("old-1", "v1");
+        entry.versions.record(SERVICE, V1.orElseThrow());
+        entry.catalog.remove(new UpstreamId("old-1"));
+        time.advance(CHECKED);
+        entry.list("old-1", "v1");
+
+        assertFalse(entry.versions.isRecorded(SERVICE, V1.orElseThrow()));
+    }
+
+    // Guards against two entries that each believe to know the record and overwrite what the other has recorded.
+    @Test
+    void entryThatBecomesResponsibleReadsTheRecordFirst() {
+        responsible = false;
+        entry.list("new-1", "v2");
+        entry.versions.record(SERVICE, V2.orElseThrow());
+        store.put(ServingVersions.KEY, "{\"services\":{\"llm\":[\"v1\",\"v2\"]}}".getBytes(StandardCharsets.UTF_8));
+
+        responsible = true;
+        time.advance(CHECKED);
+        assertEquals(Optional.empty(), entry.onlyVersion());
+        time.advance(LONGEST_STREAM.plus(CHECKED));
+
+        assertEquals(V2, entry.onlyVersion());
+    }
+
+    // Guards against an entry that serves before it knows what was recorded.
+    @Test
+    void recordIsReadUntilTheStoreResponds() {
+        store.failReads(1);
+        restart();
+        assertFalse(entry.versions.isRead());
+
+        time.advance(ServingVersions.READ_RETRY_DELAY);
+
+        assertTrue(entry.versions.isRead());
+    }
+
     @Test
     void recordIsWrittenOncePerChangeOfTheVersions() {
         entry.list("old-1", "v1");
@@ -169,11 +279,11 @@
             entry.list("old-" + i, "v1");
             time.advance(ServingVersions.CHECK_PERIOD);
         }
-        assertEquals(1, store.writeCount());
+        assertEquals(CREATION + 1, store.writeCount());
 
         entry.list("new-1", "v2");
         time.advance(CHECKED);
-        assertEquals(2, store.writeCount());
+        assertEquals(CREATION + 2, store.writeCount());
     }
 
     @Test
@@ -182,7 +292,7 @@
         entry.list("old-1", "v1");
         time.advance(CHECKED);
 
-        assertEquals(0, store.writeCount());
+        assertEquals(CREATION, store.writeCount());
     }
 
     private void restart() {
@@ -213,6 +323,7 @@
                 store,
                 catalog,
                 new CurrentReplicas(store, "servers/", object -> Optional.of(decode(object))),
+                TRACES,
                 () -> responsible,
                 () -> LONGEST_STREAM,
                 time,
