Record a software version before a stream begins at it

Cause: versions were recorded by the responsible entry within a second or more of their listing, and 3 s after its start at the earliest, but streams began at once. Evidence: versionIsRecordedWhenItsFirstStreamBegins failed before ("expected: <true> but was: <false>").

Change: a resumable stream begins at a replica only if the entry knows that its version is recorded; any entry may record it. Until then the stream begins at a replica of a recorded version if there is one, else it waits for the store. If the store does not respond, the call is refused as not run: of the two promises, that of one version is the one to keep. ReplicaSelector takes the choice of a replica out of Forwarder.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
@@ -52,9 +53,11 @@
     /** Retry-After value when it is not known when a replica will be free. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
+    private static final String VERSION_NOT_RECORDED = "the software version of the replicas could not be recorded";
+
     private final CallCodec codec;
     private final ReplicaCatalog catalog;
-    private final ReplicaPicker picker;
+    private final ReplicaSelector selector;
     private final HttpClientAgent client;
     private final RetryBudgets budgets;
     private final QuarantineCheck quarantineCheck;
@@ -111,7 +114,6 @@
             GatewayMetrics metrics) {
         this.codec = Objects.requireNonNull(codec, "codec");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
-        this.picker = Objects.requireNonNull(picker, "picker");
         this.client = Objects.requireNonNull(client, "client");
         this.budgets = Objects.requireNonNull(budgets, "budgets");
         this.quarantineCheck = new QuarantineCheck(quarantine, metrics);
@@ -120,6 +122,7 @@
         this.callerConnections = Objects.requireNonNull(callerConnections, "callerConnections");
         this.localResponses = Objects.requireNonNull(localResponses, "localResponses");
         this.resumption = Objects.requireNonNull(resumption, "resumption");
+        this.selector = new ReplicaSelector(catalog, picker, resumption);
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.durationEstimator = new CallDurationEstimator(clock);
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
@@ -183,19 +186,22 @@
 
     private void resume(Exchange exchange, Optional<SoftwareVersion> version) {
         exchange.software = version;
-        if (version.isPresent()) {
+        dispatchOrRefuse(exchange, version.isPresent(), "it is not known which software version began the stream");
+    }
+
+    private void dispatchOrRefuse(Exchange exchange, boolean mayRun, String reason) {
+        if (mayRun) {
             dispatch(exchange);
         } else if (!exchange.finished) {
-            refuse(exchange, "it is not known which software version began the stream");
+            refuse(exchange, reason);
         }
     }
 
     /** Replaces the timeout of a call by one at the given time of the monotonic clock. */
     private void scheduleTimeout(Exchange exchange, long timeoutAtMillis) {
         exchange.cancelTimeout.run();
-        Timers.Task timeout =
-                timers.schedule(Duration.ofMillis(timeoutAtMillis - clock.millis()), () -> onTimeout(exchange));
-        exchange.cancelTimeout = timeout::cancel;
+        Duration remaining = Duration.ofMillis(timeoutAtMillis - clock.millis());
+        exchange.cancelTimeout = timers.schedule(remaining, () -> onTimeout(exchange))::cancel;
     }
 
     /** Dispatches the waiting calls whose weights are now resident on a usable replica. */
@@ -219,18 +225,13 @@
         if (endIfQuarantined(exchange)) {
             return;
         }
-        List<ReplicaState> able = exchange.weights.isPresent()
-                ? catalog.ableToRun(exchange.weights.get())
-                : catalog.usable(exchange.service);
-        List<ReplicaState> eligible =
-                able.stream().filter(exchange::isContinuedBy).toList();
-        List<ReplicaState> untried = eligible.stream()
-                .filter(r -> !exchange.failedReplicas.contains(r.id()))
-                .toList();
-        Optional<ReplicaState> picked = picker.pick(untried, exchange.affinityKey());
-        if (picked.isPresent()) {
-            send(exchange, picked.get());
-        } else if (!eligible.isEmpty()) {
+        ReplicaSelector.Selection selection = selector.select(exchange);
+        Optional<CompletableFuture<Boolean>> recording = selection.unrecorded().map(resumption::recordVersion);
+        if (selection.picked().isPresent()) {
+            send(exchange, selection.picked().get());
+        } else if (recording.isPresent()) {
+            recording.get().thenAccept(isRecorded -> dispatchOrRefuse(exchange, isRecorded, VERSION_NOT_RECORDED));
+        } else if (selection.isAnyEligible()) {
             exchange.failedReplicas.clear();
             timers.schedule(exchange.nextBackoff(), () -> dispatch(exchange));
         } else {
@@ -341,8 +342,7 @@
     private void onNotSent(Exchange exchange, ReplicaState replica, String reason) {
         recordFailedAttempt(exchange, Verdict.NOT_RUN, reason);
         exchange.failedReplicas.add(replica.id());
-        exchange.rejections++;
-        if (exchange.rejections > MAX_REJECTIONS) {
+        if (++exchange.rejections > MAX_REJECTIONS) {
             refuse(exchange, "no replica is reachable");
         } else {
             dispatch(exchange);
@@ -351,7 +351,7 @@
 
     private void onConnected(Exchange exchange, ReplicaState replica, int attemptNumber, HttpClientRequest request) {
         boolean isSuperseded = exchange.finished || exchange.attemptNumber != attemptNumber;
-        if (isSuperseded || !catalog.isUsable(replica) || !exchange.isContinuedBy(replica)) {
+        if (isSuperseded || !selector.mayRun(exchange, replica)) {
             request.connection().close();
             if (!isSuperseded) {
                 dispatch(exchange);
--- /dev/null
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaSelector.java
@@ -0,0 +1,76 @@
+package org.tarragonring.gateway.forward;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.policy.routing.ReplicaPicker;
+
+/**
+ * Selects the replica to which a call is sent.
+ *
+ * <p>Not thread-safe.
+ */
+final class ReplicaSelector {
+
+    private final ReplicaCatalog catalog;
+    private final ReplicaPicker picker;
+    private final StreamResumption resumption;
+
+    /**
+     * Creates an instance.
+     *
+     * @param catalog the known replicas, not null
+     * @param picker chooses one of several replicas, not null
+     * @param resumption keeps streams at the software version that began them, not null
+     */
+    ReplicaSelector(ReplicaCatalog catalog, ReplicaPicker picker, StreamResumption resumption) {
+        this.catalog = Objects.requireNonNull(catalog, "catalog");
+        this.picker = Objects.requireNonNull(picker, "picker");
+        this.resumption = Objects.requireNonNull(resumption, "resumption");
+    }
+
+    /**
+     * Selects a replica. If the one that suits best runs software at which a stream may not begin yet, another one is
+     * selected if there is any.
+     */
+    Selection select(Exchange exchange) {
+        List<ReplicaState> able = exchange.weights.isPresent()
+                ? catalog.ableToRun(exchange.weights.get())
+                : catalog.usable(exchange.service);
+        List<ReplicaState> eligible =
+                able.stream().filter(exchange::isContinuedBy).toList();
+        List<ReplicaState> untried = eligible.stream()
+                .filter(replica -> !exchange.failedReplicas.contains(replica.id()))
+                .toList();
+        Optional<ReplicaState> best = picker.pick(untried, exchange.affinityKey());
+        Optional<ReplicaState> unrecorded = best.filter(replica -> !resumption.isBeginRecorded(exchange, replica));
+        Optional<ReplicaState> picked = unrecorded.isEmpty() ? best : pickRecorded(exchange, untried);
+        return new Selection(picked, unrecorded, !eligible.isEmpty());
+    }
+
+    /** Returns whether a call may be sent to the replica that was selected for it, which may have changed since then. */
+    boolean mayRun(Exchange exchange, ReplicaState replica) {
+        return catalog.isUsable(replica)
+                && exchange.isContinuedBy(replica)
+                && resumption.isBeginRecorded(exchange, replica);
+    }
+
+    private Optional<ReplicaState> pickRecorded(Exchange exchange, List<ReplicaState> candidates) {
+        List<ReplicaState> recorded = candidates.stream()
+                .filter(replica -> resumption.isBeginRecorded(exchange, replica))
+                .toList();
+        return picker.pick(recorded, exchange.affinityKey());
+    }
+
+    /**
+     * The result of a selection.
+     *
+     * @param picked the replica to which the call is sent, empty if there is none now
+     * @param unrecorded a replica that suits better or alone, whose software version is to be recorded first
+     * @param isAnyEligible whether a replica can run the call, possibly one that has failed it before
+     */
+    record Selection(Optional<ReplicaState> picked, Optional<ReplicaState> unrecorded, boolean isAnyEligible) {}
+}
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
@@ -80,6 +80,28 @@
         return processCheck.apply(replica);
     }
 
+    /** Returns whether a call may be sent to a replica: a resumable stream begins at recorded versions only. */
+    boolean isBeginRecorded(Exchange exchange, ReplicaState replica) {
+        return !exchange.route.resumable()
+                || exchange.hasBegun()
+                || replica.process()
+                        .software()
+                        .map(version -> servingVersions.isRecorded(exchange.service, version))
+                        .orElse(true);
+    }
+
+    /**
+     * Records the version of a replica's software, so that streams may begin there.
+     *
+     * @return whether the version is recorded now; never fails
+     */
+    CompletableFuture<Boolean> recordVersion(ReplicaState replica) {
+        return replica.process()
+                .software()
+                .map(version -> servingVersions.record(replica.listed().service(), version))
+                .orElse(CompletableFuture.completedFuture(true));
+    }
+
     /** Ties the stream to the process that sends its first event, and to the version of its software. */
     void onFirstEvent(Exchange exchange, ReplicaProcess process) {
         if (!exchange.route.resumable()) {
