--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -212,8 +212,7 @@
             return CompletableFuture.completedFuture(
                     Optional.of(listedVersions().getOrDefault(service, Set.of())));
         }
-        return currentReplicas
-                .read()
+        return retry(currentReplicas::read, READ_ATTEMPTS)
                 .thenApply(replicas ->
                         replicas.map(listed -> versionsByService(listed).getOrDefault(service, Set.of())));
     }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
@@ -19,6 +19,7 @@
     private long revision = 100;
     private int writeCount;
     private int failingReads;
+    private int failingLists;
 
     /** Creates or replaces an object, as another writer does. */
     public void put(String key, byte[] value) {
@@ -30,6 +31,11 @@
         failingReads = count;
     }
 
+    /** Lets the next listings fail. */
+    public void failLists(int count) {
+        failingLists = count;
+    }
+
     /** Returns the number of conditional writes, also of those that were rejected. */
     public int writeCount() {
         return writeCount;
@@ -52,6 +58,11 @@
 
     @Override
     public Uni<List<StoredObject>> list(String prefix) {
+        if (failingLists > 0) {
+            failingLists--;
+            return Uni.createFrom()
+                    .failure(new StoreException(StoreException.Kind.UNAVAILABLE, "no response for " + prefix));
+        }
         return Uni.createFrom()
                 .item(objects.values().stream()
                         .filter(object -> object.key().startsWith(prefix))
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -259,6 +259,21 @@
         assertEquals(V2, entry.onlyVersion());
     }
 
+    // Guards against streams that end because one request for the list failed.
+    @Test
+    void listIsReadAgainIfTheStoreDoesNotRespond() {
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        listCurrent = false;
+        store.put("servers/old-1", "v1".getBytes(StandardCharsets.UTF_8));
+
+        store.failLists(ServingVersions.READ_ATTEMPTS - 1);
+        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
+        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+
+        assertEquals(V1, version.getNow(Optional.empty()));
+    }
+
     // Guards against an entry that serves before it knows what was recorded.
     @Test
     void recordIsReadUntilTheStoreResponds() {
