Break off a stream whose continuation is no part of it

Cause: the response to a continuation was handled like the first one. A success of any type and status was relayed as events; an error was to be relayed as a body, which failed as the head of the response had been written, and left the call to its deadline.

Change: a continuation must have the status of the stream that has begun, and hold events; otherwise the attempt has failed, the stream goes on at another replica if its route allows that, or the caller's connection is closed.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -1,5 +1,8 @@
 package org.tarragonring.gateway.forward;
 
+import java.util.Locale;
+
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -25,6 +28,7 @@
 
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int SERVER_ERROR = 500;
+    private static final String EVENT_STREAM = "text/event-stream";
 
     /** The size up to which a body is kept until it is complete. */
     private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
@@ -173,6 +177,11 @@
             onRejected(response.statusCode());
         } else if (isSuccess && !head.signed()) {
             failed(Verdict.MAY_HAVE_RUN, "the response has no signature");
+        } else if (exchange.responseStarted && !continuesStream(response)) {
+            failed(
+                    Verdict.RAN,
+                    "the replica responded with status %d and type %s instead of the rest of the stream"
+                            .formatted(response.statusCode(), response.getHeader(HttpHeaders.CONTENT_TYPE)));
         } else if (response.statusCode() >= SERVER_ERROR && mayRetry()) {
             failed(Verdict.RAN, "the replica responded with status " + response.statusCode());
         } else if (isSuccess && exchange.route.kind() == RouteKind.STREAM) {
@@ -193,6 +202,20 @@
         });
     }
 
+    /** Returns whether a response has the status of the stream of which the caller has got a part, and holds events. */
+    private boolean continuesStream(HttpClientResponse response) {
+        HttpServerResponse begun = exchange.request.response();
+        String type = mediaType(response.headers());
+        return response.statusCode() == begun.getStatusCode()
+                && (type.equals(EVENT_STREAM) || type.equals(mediaType(begun.headers())));
+    }
+
+    /** Returns the type of a body without its parameters, empty if there is none. */
+    private static String mediaType(MultiMap headers) {
+        String type = headers.get(HttpHeaders.CONTENT_TYPE);
+        return type == null ? "" : type.split(";")[0].trim().toLowerCase(Locale.ROOT);
+    }
+
     private boolean mayRetry() {
         return !exchange.responseStarted
                 && exchange.route.isRetryable()
