Send each call of the own interface on a connection of its own

Cause: connections to upstreams were kept, and attempts of one call share its id, by which responses are verified.

Change: UpstreamClient makes its HTTP client itself, without kept connections, as the gateway does.

--- a/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
@@ -18,10 +18,8 @@
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.PoolOptions;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
 import org.tarragonring.admission.RetryBudget;
@@ -77,7 +75,6 @@
     private static final Duration SUSPECT_REQUEST_RETENTION = Duration.ofMinutes(10);
     private static final Duration ADAPTER_PERMIT_LIFETIME = Duration.ofSeconds(20);
     private static final Duration ADAPTER_BLOCK_LIFETIME = Duration.ofSeconds(10);
-    private static final int MAX_CONNECTIONS_PER_UPSTREAM = 512;
     private static final int KEEP_ALIVE_SECONDS = 20;
 
     private final Vertx vertx;
@@ -333,15 +330,12 @@
                 ADAPTER_BLOCK_LIFETIME,
                 clocks.monotonic(),
                 timers);
-        PoolOptions poolOptions = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM);
-        UpstreamClient upstreamClient = new UpstreamClient(
-                vertx.createHttpClient(new HttpClientOptions().setKeepAliveTimeout(KEEP_ALIVE_SECONDS), poolOptions));
         return new CallDependencies(
                 controlPlane.config(),
                 dispatchers,
                 adapterLoader,
                 new ClaimStore(controlPlane.records(), clocks.wall(), timers, settings.claimLifetime()),
-                upstreamClient,
+                UpstreamClient.create(vertx),
                 directory,
                 ejections,
                 quarantine,
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamClient.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamClient.java
@@ -4,9 +4,12 @@
 import java.util.Objects;
 
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.tarragonring.errors.CallException;
 import org.tarragonring.errors.RefusalReason;
@@ -15,21 +18,33 @@
 /**
  * Sends calls to upstreams. The exception of a failed call states whether the call may have run.
  *
+ * <p>Each attempt has a connection of its own, so that nothing an upstream writes once more, such as the refusal of an
+ * earlier attempt, can be taken for its response.
+ *
  * @since 0.1.0
  */
 public final class UpstreamClient {
 
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
 
+    private static final int MAX_CONNECTIONS_PER_UPSTREAM = 512;
+
     private final HttpClient client;
 
+    private UpstreamClient(HttpClient client) {
+        this.client = client;
+    }
+
     /**
      * Creates a client of all upstreams.
      *
-     * @param client the HTTP client, not null
+     * @param vertx the Vert.x instance that runs the client, not null
+     * @return the client
      */
-    public UpstreamClient(HttpClient client) {
-        this.client = Objects.requireNonNull(client, "client");
+    public static UpstreamClient create(Vertx vertx) {
+        Objects.requireNonNull(vertx, "vertx");
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM);
+        return new UpstreamClient(vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false), pool));
     }
 
     /**
