Take only the event that ends a stream for its end

A stream of the own interface ended as if it were complete when one of its tokens held the text "data: [DONE]".

Cause: the text was looked for anywhere in an event.

--- a/tarragonring-core/src/main/java/org/tarragonring/caller/EventRelay.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/EventRelay.java
@@ -75,7 +75,7 @@
             return;
         }
         String text = event.toString(StandardCharsets.UTF_8);
-        if (text.contains(DONE_EVENT)) {
+        if (text.equals(DONE_EVENT)) {
             close();
             response.end(DONE_EVENT + EVENT_DELIMITER);
             listener.onComplete();
