Break off a stream of the own interface whose continuation is no part of it

Callers of the own interface were left waiting without an end, or got a stream that looked complete, if the upstream that was to continue their stream responded with an error or with something else than events (a report of other operators).

Change: such a response fails the attempt; the stream goes on at another upstream or ends with an error event. The replica is avoided, but not counted as one that has failed under the request.

The stand-in engine learns to break off streams and to respond to continuations as a test says.

--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
@@ -173,6 +173,10 @@
             onRefusedByUpstream(upstreamResponse);
             return;
         }
+        if (response.headWritten() && !upstreamResponse.isEventStream()) {
+            onContinuationFailed(upstreamResponse);
+            return;
+        }
         pendingResponse = upstreamResponse;
         if (chatRequest.stream() && upstreamResponse.isOk()) {
             relayEvents(upstreamResponse);
@@ -181,6 +185,19 @@
         }
     }
 
+    /** Handles a response that is no part of the stream which has begun. */
+    private void onContinuationFailed(UpstreamResponse upstreamResponse) {
+        upstreamResponse.cancel();
+        excludeReplica();
+        releaseAssignment(CallAssignment.Outcome.FAILED);
+        resumeOrRefuse(new CallException(
+                RefusalReason.UPSTREAM_BROKE_OFF,
+                Verdict.MAY_HAVE_RUN,
+                Duration.ZERO,
+                "upstream responded with status %d instead of the stream after %d tokens"
+                        .formatted(upstreamResponse.status(), deliveredTokens)));
+    }
+
     private void onRefusedByUpstream(UpstreamResponse upstreamResponse) {
         upstreamResponse.response().resume();
         if (upstreamResponse.isNotLoaded() && adapter.isPresent()) {
@@ -276,8 +293,7 @@
 
     private void recordRunOnFailedReplica() {
         mayHaveRun = true;
-        excludedReplicas.add(assignment.target().name());
-        excludedUntilMillis = dependencies.clock().millis() + EXCLUSION_MILLIS;
+        excludeReplica();
         dependencies
                 .failureReports()
                 .publish(details.failedRuns(
@@ -286,6 +302,11 @@
                         dependencies.clock().millis()));
     }
 
+    private void excludeReplica() {
+        excludedReplicas.add(assignment.target().name());
+        excludedUntilMillis = dependencies.clock().millis() + EXCLUSION_MILLIS;
+    }
+
     /** Retries a call that did not run if the retry budget allows it, otherwise refuses it. */
     private void retryOrRefuse(CallException failure) {
         boolean retry = completion.isOpen()
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
@@ -1,8 +1,10 @@
 package org.tarragonring.upstream;
 
+import java.util.Locale;
 import java.util.Objects;
 
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import org.tarragonring.errors.Verdict;
 
 /**
@@ -14,6 +16,7 @@
 public record UpstreamResponse(HttpClientResponse response) {
 
     private static final int STATUS_OK = 200;
+    private static final String EVENT_STREAM = "text/event-stream";
 
     /** Rejects null components. */
     public UpstreamResponse {
@@ -38,6 +41,18 @@
         return status() == STATUS_OK;
     }
 
+    /**
+     * Checks whether the upstream accepted the request and sends events.
+     *
+     * @return true for status 200 and the type of server-sent events
+     */
+    public boolean isEventStream() {
+        String type = response.getHeader(HttpHeaders.CONTENT_TYPE);
+        return isOk()
+                && type != null
+                && type.split(";")[0].trim().toLowerCase(Locale.ROOT).equals(EVENT_STREAM);
+    }
+
     /**
      * Checks whether the upstream states that it did not run the request.
      *
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/engine/EngineServer.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -49,6 +50,8 @@
     private final AtomicLong crashes = new AtomicLong();
     private final AtomicLong startedCalls = new AtomicLong();
     private volatile Duration extraDelay = Duration.ZERO;
+    private volatile long brokenAfterTokens = Long.MAX_VALUE;
+    private volatile Consumer<HttpServerResponse> continuation;
     private HttpServer server;
     private HostPort address;
 
@@ -127,6 +130,17 @@
         extraDelay = delay;
     }
 
+    /**
+     * Breaks off all streams after a number of tokens, and responds to calls that resume a stream in another way.
+     *
+     * @param tokens the number of tokens
+     * @param response writes the response to a call that resumes a stream, not null
+     */
+    public void breakStreams(long tokens, Consumer<HttpServerResponse> response) {
+        brokenAfterTokens = tokens;
+        continuation = Objects.requireNonNull(response, "response");
+    }
+
     /**
      * Returns the number of tokens sent since the server was created.
      *
@@ -205,6 +219,11 @@
         }
         long resumeFrom =
                 Long.parseLong(Objects.requireNonNullElse(request.getHeader(UpstreamHeaders.RESUME_FROM), "0"));
+        if (resumeFrom > 0 && continuation != null) {
+            engine.endCall(slot);
+            continuation.accept(response);
+            return;
+        }
         Generation generation =
                 new Generation(slot, prompt, resumeFrom, body.getInteger("max_tokens", DEFAULT_MAX_TOKENS), response);
         response.closeHandler(closed -> generation.end());
@@ -259,6 +278,11 @@
                 end();
                 return;
             }
+            if (lastTokenNumber >= brokenAfterTokens) {
+                response.reset();
+                end();
+                return;
+            }
             if (lastTokenNumber >= maxTokens) {
                 response.end("data: [DONE]\n\n");
                 end();
