Keep a software version recorded while the time of its streams is not known

Cause: the record keeps a version that has left for the longest timeout of a route for streams. An entry without a configuration took that for zero: the version was removed 3 s after its record had been read, while entries that had their configuration continued streams.

Change: without a configuration the time is unknown and nothing is removed. ServingVersionsTest.versionIsKeptWhileTheTimeOfStreamsIsNotKnown failed before ("expected: <Optional.empty> but was: <Optional[v2]>").

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -342,9 +342,7 @@
                 new CurrentReplicas(store, dependencies.replicaPrefix(), dependencies.replicaDecoder()),
                 GroupLease.KEY_PREFIX,
                 () -> mesh.entryFor(ServingVersions.DUTY).equals(settings.id()),
-                () -> config.map(ServingConfig::longestStreamTimeout)
-                        .orElse(Duration.ZERO)
-                        .plus(LIST_LAG),
+                () -> config.map(current -> current.longestStreamTimeout().plus(LIST_LAG)),
                 clocks.monotonic(),
                 timers);
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -76,7 +76,7 @@
     private final CurrentReplicas currentReplicas;
     private final String traceOfServing;
     private final BooleanSupplier responsible;
-    private final Supplier<Duration> longestStream;
+    private final Supplier<Optional<Duration>> longestStream;
     private final MonotonicClock clock;
     private final Timers timers;
 
@@ -106,7 +106,8 @@
      * @param currentReplicas reads the listed replicas if the catalog may be out of date, not null
      * @param traceOfServing the prefix of keys that the store contains if entries have served before, not null
      * @param responsible returns whether this entry removes versions from the record, not null
-     * @param longestStream returns how long after a version has left a stream that it began may run, not null
+     * @param longestStream returns how long after a version has left a stream that it began may run, empty if that is not
+     *     known yet; not null
      * @param clock the monotonic clock, not null
      * @param timers schedules the checks, not null
      */
@@ -116,7 +117,7 @@
             CurrentReplicas currentReplicas,
             String traceOfServing,
             BooleanSupplier responsible,
-            Supplier<Duration> longestStream,
+            Supplier<Optional<Duration>> longestStream,
             MonotonicClock clock,
             Timers timers) {
         this.store = Objects.requireNonNull(store, "store");
@@ -262,7 +263,7 @@
             listOutOfDateSinceMillis = listOutOfDateSinceMillis.or(() -> Optional.of(clock.millis()));
             return false;
         }
-        long goneMillis = clock.millis() - longestStream.get().toMillis();
+        long goneMillis = goneMillis();
         if (listOutOfDateSinceMillis.filter(since -> since <= goneMillis).isPresent()) {
             read();
         }
@@ -307,7 +308,7 @@
 
     /** Returns what is to be recorded: the versions that this entry has seen or read of, unless they left long ago. */
     private Map<ServiceName, Set<SoftwareVersion>> wantedVersions(Recorded record) {
-        long goneMillis = clock.millis() - longestStream.get().toMillis();
+        long goneMillis = goneMillis();
         Map<ServiceName, Set<SoftwareVersion>> wanted = listedVersions();
         catalog.versionsListedSince(goneMillis)
                 .forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
@@ -323,6 +324,14 @@
         return wanted;
     }
 
+    /** Returns the time before which a version must have been seen last so that no stream of it runs any more. */
+    private long goneMillis() {
+        return longestStream
+                .get()
+                .map(duration -> clock.millis() - duration.toMillis())
+                .orElse(Long.MIN_VALUE);
+    }
+
     private static void add(
             Map<ServiceName, Set<SoftwareVersion>> versions, ServiceName service, SoftwareVersion version) {
         versions.computeIfAbsent(service, name -> new TreeSet<>()).add(version);
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -47,6 +47,7 @@
     private final MemoryStore store = new MemoryStore();
     private boolean responsible = true;
     private boolean listCurrent = true;
+    private Optional<Duration> longestStream = Optional.of(LONGEST_STREAM);
     private Entry entry = new Entry();
 
     @Test
@@ -259,6 +260,25 @@
         assertEquals(V2, entry.onlyVersion());
     }
 
+    // Guards against a version that is removed too early by an entry that gets its configuration late.
+    @Test
+    void versionIsKeptWhileTheTimeOfStreamsIsNotKnown() {
+        entry.list("old-1", "v1");
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+        entry.catalog.remove(new UpstreamId("old-1"));
+
+        longestStream = Optional.empty();
+        restart();
+        entry.list("new-1", "v2");
+        time.advance(LONGEST_STREAM.multipliedBy(2));
+        assertEquals(Optional.empty(), entry.onlyVersion());
+
+        longestStream = Optional.of(LONGEST_STREAM);
+        time.advance(CHECKED);
+        assertEquals(V2, entry.onlyVersion());
+    }
+
     // Guards against streams that end because one request for the list failed.
     @Test
     void listIsReadAgainIfTheStoreDoesNotRespond() {
@@ -340,7 +360,7 @@
                 new CurrentReplicas(store, "servers/", object -> Optional.of(decode(object))),
                 TRACES,
                 () -> responsible,
-                () -> LONGEST_STREAM,
+                () -> longestStream,
                 time,
                 time);
 
