Let only the responsible entry remove software versions, a whole stream after it took over

An entry that recorded a version also removed others which it had read of long ago and had not seen since; so did one that became responsible.

Cause: the time since when a version is known belongs to the value that was read, but outlived it. Found by reading.

Change: only the responsible entry removes, and its times begin when it takes over. ServingVersionsTest.entryThatBecomesResponsibleKeepsVersionsForAWholeStream and entryThatRecordsAVersionRemovesNone failed before.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -79,6 +79,7 @@
     private final Supplier<Optional<Duration>> longestStream;
     private final MonotonicClock clock;
     private final Timers timers;
+    private final CompletableFuture<Void> started = new CompletableFuture<>();
 
     /** When this entry first read of each recorded version; one that it has not seen itself may have left just before. */
     private final Map<ServiceVersion, Long> firstReadMillis = new HashMap<>();
@@ -88,15 +89,17 @@
 
     private Optional<CompletableFuture<Optional<Recorded>>> pendingRead = Optional.empty();
     private Optional<CompletableFuture<Void>> pendingUpdate = Optional.empty();
+
     /** The recorded versions of which a replica has been listed since; the responsible entry does not remove them. */
     private final Set<ServiceVersion> confirmed = new HashSet<>();
 
-    private boolean wasResponsible;
+    /** Whether this entry was responsible at the last check. */
+    private boolean mayRemove;
+
     private boolean stopped;
     private Optional<Long> listOutOfDateSinceMillis = Optional.empty();
     private long startedMillis;
     private Timers.Task checks = () -> {};
-    private final CompletableFuture<Void> started = new CompletableFuture<>();
 
     /**
      * Creates an instance that is not started.
@@ -249,8 +252,12 @@
         confirmed.retainAll(pairs(listedVersions()));
         boolean isSettled = clock.millis() - startedMillis >= SETTLE_TIME.toMillis();
         boolean isResponsible = isSettled && responsible.getAsBoolean();
-        boolean hasTakenOver = isResponsible && !wasResponsible;
-        wasResponsible = isResponsible;
+        boolean hasTakenOver = isResponsible && !mayRemove;
+        mayRemove = isResponsible;
+        if (hasTakenOver) {
+            // a version may have returned and left since it was read of first
+            firstReadMillis.replaceAll((version, readMillis) -> clock.millis());
+        }
         Recorded known = recorded.orElseThrow();
         if (hasTakenOver || isResponsible && !isUpToDate(known, wantedVersions(known))) {
             update();
@@ -316,8 +323,8 @@
             wanted.forEach((service, versions) -> versions.add(UNKNOWN));
         }
         record.versions.forEach((service, versions) -> versions.forEach(version -> {
-            boolean mayBeListed = !catalog.isListCurrent();
-            if (mayBeListed || firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis) {
+            boolean mayHaveLeft = mayRemove && catalog.isListCurrent();
+            if (!mayHaveLeft || firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis) {
                 add(wanted, service, version);
             }
         }));
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -260,6 +260,38 @@
         assertEquals(V2, entry.onlyVersion());
     }
 
+    // Guards against a version that has returned and left while this entry did not see it, and that was read of long
+    // ago.
+    @Test
+    void entryThatBecomesResponsibleKeepsVersionsForAWholeStream() {
+        responsible = false;
+        store.put(ServingVersions.KEY, "{\"services\":{\"llm\":[\"v1\",\"v2\"]}}".getBytes(StandardCharsets.UTF_8));
+        restart();
+        entry.list("new-1", "v2");
+        time.advance(LONGEST_STREAM.multipliedBy(2));
+
+        responsible = true;
+        time.advance(CHECKED);
+        assertEquals(Optional.empty(), entry.onlyVersion());
+
+        time.advance(LONGEST_STREAM);
+        assertEquals(V2, entry.onlyVersion());
+    }
+
+    // Guards against an entry that removes what it does not see, though another one is responsible.
+    @Test
+    void entryThatRecordsAVersionRemovesNone() {
+        responsible = false;
+        store.put(ServingVersions.KEY, "{\"services\":{\"llm\":[\"v1\"]}}".getBytes(StandardCharsets.UTF_8));
+        restart();
+        time.advance(LONGEST_STREAM.multipliedBy(2));
+        entry.list("new-1", "v2");
+
+        assertTrue(entry.versions.record(SERVICE, V2.orElseThrow()).join());
+
+        assertTrue(entry.versions.isRecorded(SERVICE, V1.orElseThrow()));
+    }
+
     // Guards against a version that is removed too early by an entry that gets its configuration late.
     @Test
     void versionIsKeptWhileTheTimeOfStreamsIsNotKnown() {
