Do not hold the readiness of an entry back until the record of versions is read

A stream waits for the record itself, if it begins at a version that is not known to be recorded, and a take-up reads it.

Whether this is enough there is not shown; the order leases still wait for the record.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -394,7 +394,7 @@
     }
 
     private boolean canServe() {
-        return config.isPresent() && replicaWatcher.isListed() && quarantine.isListed() && servingVersions.isRead();
+        return config.isPresent() && replicaWatcher.isListed() && quarantine.isListed();
     }
 
     /** Waits until the calls in flight have ended and callers have stopped to use this entry, if it has joined. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -152,12 +152,8 @@
         checks.cancel();
     }
 
-    /**
-     * Checks whether this entry has read the record. Streams may begin only after that.
-     *
-     * @return false until the store has responded
-     */
-    public boolean isRead() {
+    /** Returns whether this entry has read the record. */
+    boolean isRead() {
         return started.isDone();
     }
 
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -326,7 +326,7 @@
         assertEquals(V1, version.getNow(Optional.empty()));
     }
 
-    // Guards against an entry that serves before it knows what was recorded.
+    // Guards against leases that show that entries have served before it is known what was recorded.
     @Test
     void recordIsReadUntilTheStoreResponds() {
         store.failReads(1);
