--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
@@ -1,10 +1,8 @@
 package org.tarragonring.upstream;
 
-import java.util.Locale;
 import java.util.Objects;
 
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpHeaders;
 import org.tarragonring.errors.Verdict;
 
 /**
@@ -16,7 +14,6 @@
 public record UpstreamResponse(HttpClientResponse response) {
 
     private static final int STATUS_OK = 200;
-    private static final String EVENT_STREAM = "text/event-stream";
 
     /** Rejects null components. */
     public UpstreamResponse {
@@ -47,10 +44,7 @@
      * @return true for status 200 and the type of server-sent events
      */
     public boolean isEventStream() {
-        String type = response.getHeader(HttpHeaders.CONTENT_TYPE);
-        return isOk()
-                && type != null
-                && type.split(";")[0].trim().toLowerCase(Locale.ROOT).equals(EVENT_STREAM);
+        return isOk() && MediaTypes.of(response.headers()).equals(MediaTypes.EVENT_STREAM);
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -1,8 +1,5 @@
 package org.tarragonring.gateway.forward;
 
-import java.util.Locale;
-
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -20,6 +17,7 @@
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
+import org.tarragonring.upstream.MediaTypes;
 
 /**
  * One request to a replica, from the established connection to the end of the response. Not thread-safe.
@@ -28,7 +26,6 @@
 
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int SERVER_ERROR = 500;
-    private static final String EVENT_STREAM = "text/event-stream";
 
     /** The size up to which a body is kept until it is complete. */
     private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
@@ -205,15 +202,9 @@
     /** Returns whether a response has the status of the stream of which the caller has got a part, and holds events. */
     private boolean continuesStream(HttpClientResponse response) {
         HttpServerResponse begun = exchange.request.response();
-        String type = mediaType(response.headers());
+        String type = MediaTypes.of(response.headers());
         return response.statusCode() == begun.getStatusCode()
-                && (type.equals(EVENT_STREAM) || type.equals(mediaType(begun.headers())));
-    }
-
-    /** Returns the type of a body without its parameters, empty if there is none. */
-    private static String mediaType(MultiMap headers) {
-        String type = headers.get(HttpHeaders.CONTENT_TYPE);
-        return type == null ? "" : type.split(";")[0].trim().toLowerCase(Locale.ROOT);
+                && (type.equals(MediaTypes.EVENT_STREAM) || type.equals(MediaTypes.of(begun.headers())));
     }
 
     private boolean mayRetry() {
