Notice that an upstream's response broke off before its reader was set

A call of the own interface waited until its deadline if the response of its upstream broke off between its head and the moment when the call began to read the body: nothing remembered the failure.

The test now waits 200 ms before it reads, and fails each time without the change.

Change: the failure is kept with the response, and fails whatever reads it later, bodies and streams.

--- a/tarragonring-core/src/main/java/org/tarragonring/caller/EventRelay.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/EventRelay.java
@@ -56,6 +56,7 @@
         parser.exceptionHandler(failure -> fail(String.valueOf(failure.getMessage())));
         parser.endHandler(ended -> fail("stream ended before its last event"));
         parser.handler(this::onEvent);
+        upstreamResponse.brokenOff().onFailure(failure -> fail(String.valueOf(failure.getMessage())));
         upstreamResponse.response().resume();
         startTokenTimer();
     }
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ModelCall.java
@@ -244,8 +244,7 @@
 
     private void relayCompleteResponse(UpstreamResponse upstreamResponse) {
         upstreamResponse
-                .response()
-                .body()
+                .readBody()
                 .onComplete(result -> context.runOnContext(ignored -> {
                     if (!completion.isOpen()) {
                         releaseAssignment(CallAssignment.Outcome.ABANDONED);
@@ -267,7 +266,6 @@
                         recordAnswer();
                     }
                 }));
-        upstreamResponse.response().resume();
     }
 
     private void onResponseFailed(String cause) {
--- a/tarragonring-core/src/main/java/org/tarragonring/caller/ServiceCall.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/caller/ServiceCall.java
@@ -192,8 +192,7 @@
             return;
         }
         upstreamResponse
-                .response()
-                .body()
+                .readBody()
                 .onComplete(result -> context.runOnContext(ignored -> {
                     if (result.succeeded()) {
                         dependencies.ejections().recordSuccess(instance.id());
@@ -205,7 +204,6 @@
                         onAttemptFailed(instance, sentMillis, CallException.of(result.cause()));
                     }
                 }));
-        upstreamResponse.response().resume();
     }
 
     private void onBody(UpstreamResponse upstreamResponse, Buffer body) {
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamClient.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamClient.java
@@ -78,8 +78,7 @@
     private static Future<UpstreamResponse> verifyCallId(UpstreamRequest request, HttpClientResponse response) {
         String returnedCallId = response.getHeader(UpstreamHeaders.CALL_ID);
         if (request.callId().value().equals(returnedCallId)) {
-            response.pause();
-            return Future.succeededFuture(new UpstreamResponse(response));
+            return Future.succeededFuture(UpstreamResponse.paused(response));
         }
         response.request().reset();
         return Future.failedFuture(new CallException(
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
@@ -2,6 +2,9 @@
 
 import java.util.Objects;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import org.tarragonring.errors.Verdict;
 
@@ -9,15 +12,43 @@
  * The status and headers of an upstream's response. The body has not been read; it is paused until a reader resumes it.
  *
  * @param response the HTTP response, not null
+ * @param brokenOff fails if the response breaks off before a reader is set, not null
  * @since 0.1.0
  */
-public record UpstreamResponse(HttpClientResponse response) {
+public record UpstreamResponse(HttpClientResponse response, Future<Void> brokenOff) {
 
     private static final int STATUS_OK = 200;
 
     /** Rejects null components. */
     public UpstreamResponse {
         Objects.requireNonNull(response, "response");
+        Objects.requireNonNull(brokenOff, "brokenOff");
+    }
+
+    /**
+     * Pauses a response until it gets a reader.
+     *
+     * @param response a response of which nothing has been read, not null
+     * @return the response
+     */
+    static UpstreamResponse paused(HttpClientResponse response) {
+        response.pause();
+        Promise<Void> brokenOff = Promise.promise();
+        response.exceptionHandler(brokenOff::tryFail);
+        return new UpstreamResponse(response, brokenOff.future());
+    }
+
+    /**
+     * Reads the body.
+     *
+     * @return the whole body; fails if the response breaks off, or has broken off already
+     */
+    public Future<Buffer> readBody() {
+        Promise<Buffer> body = Promise.promise();
+        brokenOff.onFailure(body::tryFail);
+        response.body().onSuccess(body::tryComplete).onFailure(body::tryFail);
+        response.resume();
+        return body.future();
     }
 
     /**
--- a/tarragonring-core/src/test/java/org/tarragonring/upstream/UpstreamClientTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/upstream/UpstreamClientTest.java
@@ -29,6 +29,7 @@
 class UpstreamClientTest {
 
     private static final int TIMEOUT_SECONDS = 20;
+    private static final int READ_DELAY_MILLIS = 200;
     private static final String CALL_ID = "call-1";
     private static final String REFUSAL =
             "HTTP/1.1 404 Not Found\r\nX-Call-Id: call-1\r\nX-Verdict: not-run\r\nContent-Length: 0\r\n\r\n";
@@ -64,7 +65,7 @@
 
         for (int i = 1; i <= 3; i++) {
             UpstreamResponse response = send(upstream);
-            assertEquals("ok", await(body(response)).toString());
+            assertEquals("ok", await(response.readBody()).toString());
             assertEquals(i, connections.size());
         }
     }
@@ -82,21 +83,18 @@
         }
     }
 
-    // Guards against a body that is shorter than its head says.
+    // Guards against a body that is shorter than its head says, and against a call that waits for the rest of one that
+    // broke
+    // off before the call had begun to read it.
     @Test
     void bodyThatBreaksOffIsNotComplete() throws Exception {
         HostPort upstream =
                 listen((socket, number) -> socket.end(Buffer.buffer(RESPONSE.substring(0, RESPONSE.length() - 1))));
 
         UpstreamResponse response = send(upstream);
+        TimeUnit.MILLISECONDS.sleep(READ_DELAY_MILLIS);
 
-        assertThrows(ExecutionException.class, () -> await(body(response)));
-    }
-
-    private static Future<Buffer> body(UpstreamResponse response) {
-        Future<Buffer> body = response.response().body();
-        response.response().resume();
-        return body;
+        assertThrows(ExecutionException.class, () -> await(response.readBody()));
     }
 
     private UpstreamResponse send(HostPort upstream) throws Exception {
