Let each entry learn which versions are recorded before its first stream

Change: an entry that lists a version which it does not know to be recorded reads the record at its next check. ServingVersionsTest.everyEntryReadsWhatAnotherOneHasRecorded failed before ("expected: <true> but was: <false>").

Also: that another entry has written the record first is no failure of the store, and no longer logged as one.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -22,6 +22,7 @@
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.objects.Json;
 import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.policy.replica.ReplicaState;
@@ -245,7 +246,8 @@
         if (stopped || !isRead() || !isListCurrent()) {
             return;
         }
-        confirmed.retainAll(pairs(listedVersions()));
+        Set<ServiceVersion> listed = pairs(listedVersions());
+        confirmed.retainAll(listed);
         boolean isSettled = clock.millis() - startedMillis >= SETTLE_TIME.toMillis();
         boolean isResponsible = isSettled && responsible.getAsBoolean();
         boolean hasTakenOver = isResponsible && !mayRemove;
@@ -257,6 +259,9 @@
         Recorded known = recorded.orElseThrow();
         if (hasTakenOver || isResponsible && !isUpToDate(known, wantedVersions(known))) {
             update();
+        } else if (isSettled && !confirmed.containsAll(listed)) {
+            // the store may not respond when the first stream begins
+            read();
         }
     }
 
@@ -356,13 +361,20 @@
                             isWritten.complete(true);
                         },
                         failure -> {
-                            LogEvent.DEPENDENCY_STATE.log(
-                                    "store", false, "versions not recorded: " + failure.getMessage());
+                            if (!isConflict(failure)) {
+                                LogEvent.DEPENDENCY_STATE.log(
+                                        "store", false, "versions not recorded: " + failure.getMessage());
+                            }
                             isWritten.complete(false);
                         });
         return isWritten;
     }
 
+    /** Returns whether another entry has written the record first, as happens when several start at the same time. */
+    private static boolean isConflict(Throwable failure) {
+        return failure instanceof StoreException e && e.kind() == StoreException.Kind.CONFLICT;
+    }
+
     private <T> CompletableFuture<Optional<T>> retry(
             Supplier<CompletableFuture<Optional<T>>> request, int attemptsLeft) {
         return request.get().thenCompose(response -> {
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -219,6 +219,21 @@
         assertEquals(Optional.empty(), entry.onlyVersion());
     }
 
+    // Guards against an entry that is cut off from the store and refuses its first stream, though the version was
+    // recorded.
+    @Test
+    void everyEntryReadsWhatAnotherOneHasRecorded() {
+        responsible = false;
+        restart();
+        store.put(ServingVersions.KEY, "{\"services\":{\"llm\":[\"v1\"]}}".getBytes(StandardCharsets.UTF_8));
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+
+        store.failReads(ServingVersions.READ_ATTEMPTS);
+
+        assertTrue(entry.versions.record(SERVICE, V1.orElseThrow()).getNow(false));
+    }
+
     @Test
     void versionIsNotRecordedIfTheStoreDoesNotRespond() {
         entry.list("old-1", "v1");
