Bound the loads from the weight store by what it serves at full speed

Cause: each waiting call could begin such a load, whatever was in progress. A load takes longer in proportion to the loads in progress at its start beyond what the store serves at full speed (measured: k of 10 take 13.3 s up to k = 10, 20 s at k = 14), blocks its replica, and evicts first.

Class: work is added to a shared resource that is saturated, by a decision that does not see it.

- StoreConcurrency learns from the duration of loads how many the store serves at full speed; the planner keeps to it.
Loads that nobody asked for yet get half of it, and keep what the deployment has placed.
- A load from the store is weighed against the calls of the models that only this replica could load meanwhile, and against those of a busy model that would have too few replicas.
- The expected rate of a rare model counts its calls of the last 20 s, and their absence.
- A model whose calls were refused is loaded, too.

Four of the tests fail on: 4 loads where 2 are allowed; the only copy of a called model is blocked; a replica that a busy model needs is taken; a placed model is evicted before any call.

The tests of the store limit were changed: half of it is for loads without calls, by design.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandAggregator.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/DemandAggregator.java
@@ -14,6 +14,7 @@
 import org.tarragonring.peer.PeerMessage.WeightDemand;
 import org.tarragonring.policy.placement.AggregateDemand;
 import org.tarragonring.policy.placement.ReplicaSnapshot.RunningCalls;
+import org.tarragonring.policy.placement.ServiceDemand;
 import org.tarragonring.time.MonotonicClock;
 
 /**
@@ -34,9 +35,16 @@
      */
     private static final double RATE_TIME_CONSTANT_SECONDS = 5;
 
+    /** The time constant of the count of recent calls, which covers several calls of a model that is called rarely. */
+    private static final double RECENT_TIME_CONSTANT_SECONDS = 20;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final MonotonicClock clock;
     private final Map<EntryId, Report> reports = new HashMap<>();
     private final Map<ModelKey, DecayingRate> rates = new HashMap<>();
+    private final Map<ModelKey, DecayingRate> recentRates = new HashMap<>();
+    private final Map<ServiceName, Long> firstCallMillis = new HashMap<>();
 
     /**
      * Creates an aggregator without reports.
@@ -59,7 +67,12 @@
         reports.put(from, new Report(nowMillis, List.copyOf(demands), List.copyOf(unreachable)));
         for (WeightDemand demand : demands) {
             if (demand.arrivals() > 0) {
-                rates.computeIfAbsent(key(demand), key -> new DecayingRate(nowMillis))
+                ModelKey key = key(demand);
+                firstCallMillis.putIfAbsent(key.service, nowMillis);
+                rates.computeIfAbsent(key, k -> new DecayingRate(nowMillis, RATE_TIME_CONSTANT_SECONDS))
+                        .add(nowMillis, demand.arrivals());
+                recentRates
+                        .computeIfAbsent(key, k -> new DecayingRate(nowMillis, RECENT_TIME_CONSTANT_SECONDS))
                         .add(nowMillis, demand.arrivals());
             }
         }
@@ -69,16 +82,18 @@
      * Returns the demand for the models of one service. Discards reports that are too old.
      *
      * @param service the service, not null
-     * @return the demand of all entries by model
+     * @return the demand of all entries
      */
-    public Map<ModelName, AggregateDemand> demands(ServiceName service) {
+    public ServiceDemand demand(ServiceName service) {
         long nowMillis = clock.millis();
         reports.values().removeIf(report -> nowMillis - report.receivedAtMillis > REPORT_LIFETIME.toMillis());
         Map<ModelName, AggregateDemand> demandByModel = new HashMap<>();
         rates.forEach((key, rate) -> {
             if (key.service.equals(service)) {
+                double recentCalls = recentRates.get(key).perSecond(nowMillis) * RECENT_TIME_CONSTANT_SECONDS;
                 demandByModel.put(
-                        key.model, new AggregateDemand(key.model, 0, 0, rate.perSecond(nowMillis), Long.MAX_VALUE));
+                        key.model,
+                        new AggregateDemand(key.model, 0, 0, rate.perSecond(nowMillis), recentCalls, Long.MAX_VALUE));
             }
         });
         for (Report report : new ArrayList<>(reports.values())) {
@@ -89,7 +104,13 @@
                 }
             }
         }
-        return demandByModel;
+        return new ServiceDemand(demandByModel, observedSeconds(service, nowMillis));
+    }
+
+    /** Returns the time that the recent calls cover, as a sum of seconds that count less the longer ago they were. */
+    private double observedSeconds(ServiceName service, long nowMillis) {
+        double seconds = (nowMillis - firstCallMillis.getOrDefault(service, nowMillis)) / MILLIS_PER_SECOND;
+        return RECENT_TIME_CONSTANT_SECONDS * -Math.expm1(-seconds / RECENT_TIME_CONSTANT_SECONDS);
     }
 
     /**
@@ -127,7 +148,7 @@
 
     private static AggregateDemand toAggregate(WeightDemand demand, long ageMillis) {
         long slackMillis = demand.waiting() > 0 ? demand.slackMillis() - ageMillis : Long.MAX_VALUE;
-        return new AggregateDemand(demand.model(), demand.waiting(), demand.running(), 0, slackMillis);
+        return new AggregateDemand(demand.model(), demand.waiting(), demand.running(), 0, 0, slackMillis);
     }
 
     private static AggregateDemand sum(AggregateDemand first, AggregateDemand second) {
@@ -136,6 +157,7 @@
                 first.waitingCalls() + second.waitingCalls(),
                 first.runningCalls() + second.runningCalls(),
                 first.callsPerSecond() + second.callsPerSecond(),
+                first.recentCalls() + second.recentCalls(),
                 Math.min(first.slackMillis(), second.slackMillis()));
     }
 
@@ -150,20 +172,22 @@
     /** A call rate with exponential decay. */
     private static final class DecayingRate {
 
+        private final double timeConstantSeconds;
         private double callsPerSecond;
         private long updatedAtMillis;
 
-        DecayingRate(long updatedAtMillis) {
+        DecayingRate(long updatedAtMillis, double timeConstantSeconds) {
             this.updatedAtMillis = updatedAtMillis;
+            this.timeConstantSeconds = timeConstantSeconds;
         }
 
         void add(long nowMillis, int arrivals) {
-            callsPerSecond = perSecond(nowMillis) + arrivals / RATE_TIME_CONSTANT_SECONDS;
+            callsPerSecond = perSecond(nowMillis) + arrivals / timeConstantSeconds;
             updatedAtMillis = nowMillis;
         }
 
         double perSecond(long nowMillis) {
-            return callsPerSecond * Math.exp(-(nowMillis - updatedAtMillis) / 1_000.0 / RATE_TIME_CONSTANT_SECONDS);
+            return callsPerSecond * Math.exp(-(nowMillis - updatedAtMillis) / MILLIS_PER_SECOND / timeConstantSeconds);
         }
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -20,12 +20,14 @@
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ServingConfig;
-import org.tarragonring.policy.placement.AggregateDemand;
 import org.tarragonring.policy.placement.PlacementPlanner;
 import org.tarragonring.policy.placement.PlannedLoad;
 import org.tarragonring.policy.placement.ReplicaSnapshot;
 import org.tarragonring.policy.placement.ReplicaSnapshot.RunningCalls;
+import org.tarragonring.policy.placement.ServiceDemand;
+import org.tarragonring.policy.placement.StoreConcurrency;
 import org.tarragonring.policy.placement.StoreLoadBudget;
+import org.tarragonring.policy.placement.StoreLoadLimits;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
@@ -67,6 +69,7 @@
     private final MonotonicClock clock;
     private final Timers timers;
     private final Map<ServiceName, StoreLoadBudget> storeLoadBudgets = new HashMap<>();
+    private final Map<ServiceName, StoreConcurrency> storeConcurrencies = new HashMap<>();
     private final PendingLoads pendingLoads;
     private Timers.Task periodicPlanning = () -> {};
     private boolean planningScheduled;
@@ -148,30 +151,46 @@
 
     private void plan() {
         plannedAtMillis = clock.millis();
-        if (config.get().isEmpty() || !mesh.entryFor(DUTY).equals(self)) {
+        if (config.get().isEmpty()) {
             return;
         }
+        boolean isPlanner = mesh.entryFor(DUTY).equals(self);
         config.get()
                 .get()
                 .services()
                 .values()
-                .forEach(service -> service.engine().ifPresent(engine -> plan(service.name(), engine)));
+                .forEach(service -> service.engine().ifPresent(engine -> {
+                    List<ReplicaSnapshot> snapshots = snapshots(service.name());
+                    storeConcurrency(service.name()).observe(snapshots, engine);
+                    if (isPlanner) {
+                        plan(service.name(), engine, snapshots);
+                    }
+                }));
     }
 
-    private void plan(ServiceName service, EngineSpec engine) {
-        Map<UpstreamId, Map<ModelName, RunningCalls>> running = demandAggregator.runningCalls();
-        List<ReplicaSnapshot> snapshots = catalog.serving(service).stream()
-                .filter(replica -> !demandAggregator.isUnreachable(replica.id()))
-                .map(replica -> toSnapshot(replica, running.getOrDefault(replica.id(), Map.of())))
-                .toList();
-        Map<ModelName, AggregateDemand> demands = demandAggregator.demands(service);
+    private void plan(ServiceName service, EngineSpec engine, List<ReplicaSnapshot> snapshots) {
+        ServiceDemand demand = demandAggregator.demand(service);
         StoreLoadBudget storeLoads = storeLoadBudgets.computeIfAbsent(service, name -> new StoreLoadBudget(clock));
-        List<PlannedLoad> plannedLoads = new PlacementPlanner(engine)
-                .plan(snapshots, demands, storeLoads.remaining(engine.maxStoreLoadsPerSecond()));
+        StoreLoadLimits limits = new StoreLoadLimits(
+                storeLoads.remaining(engine.maxStoreLoadsPerSecond()),
+                storeConcurrency(service).limit());
+        List<PlannedLoad> plannedLoads = new PlacementPlanner(engine).plan(snapshots, demand, limits);
         plannedLoads.stream()
                 .filter(load -> load.tier() == CheckpointTier.REMOTE)
                 .forEach(load -> storeLoads.recordLoad());
-        plannedLoads.forEach(load -> startLoad(load, demands));
+        plannedLoads.forEach(load -> startLoad(load, demand.of(load.model()).waitingCalls()));
+    }
+
+    private StoreConcurrency storeConcurrency(ServiceName service) {
+        return storeConcurrencies.computeIfAbsent(service, name -> new StoreConcurrency(clock));
+    }
+
+    private List<ReplicaSnapshot> snapshots(ServiceName service) {
+        Map<UpstreamId, Map<ModelName, RunningCalls>> running = demandAggregator.runningCalls();
+        return catalog.serving(service).stream()
+                .filter(replica -> !demandAggregator.isUnreachable(replica.id()))
+                .map(replica -> toSnapshot(replica, running.getOrDefault(replica.id(), Map.of())))
+                .toList();
     }
 
     private ReplicaSnapshot toSnapshot(ReplicaState replica, Map<ModelName, RunningCalls> running) {
@@ -185,10 +204,7 @@
                 controllable);
     }
 
-    private void startLoad(PlannedLoad load, Map<ModelName, AggregateDemand> demands) {
-        int waitingCalls = Optional.ofNullable(demands.get(load.model()))
-                .map(AggregateDemand::waitingCalls)
-                .orElse(0);
+    private void startLoad(PlannedLoad load, int waitingCalls) {
         LogEvent.LOAD_PLANNED.log(
                 load.model(), load.replicaId(), load.evictions(), load.tier(), load.reason(), waitingCalls);
         catalog.find(load.replicaId())
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/DemandAggregatorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/DemandAggregatorTest.java
@@ -35,7 +35,7 @@
         aggregator.addReport(FIRST, List.of(waiting(2, 900)), List.of());
         aggregator.addReport(SECOND, List.of(waiting(1, 400)), List.of());
 
-        AggregateDemand demand = aggregator.demands(SERVICE).get(MODEL);
+        AggregateDemand demand = aggregator.demand(SERVICE).of(MODEL);
 
         assertEquals(3, demand.waitingCalls());
         assertEquals(400, demand.slackMillis());
@@ -46,7 +46,7 @@
         aggregator.addReport(FIRST, List.of(waiting(2, 900)), List.of());
         aggregator.addReport(FIRST, List.of(), List.of());
 
-        assertEquals(Map.of(), aggregator.demands(SERVICE));
+        assertEquals(Map.of(), aggregator.demand(SERVICE).byModel());
     }
 
     @Test
@@ -54,7 +54,7 @@
         aggregator.addReport(FIRST, List.of(waiting(2, 900)), List.of());
         nowMillis += 1_600;
 
-        assertEquals(Map.of(), aggregator.demands(SERVICE));
+        assertEquals(Map.of(), aggregator.demand(SERVICE).byModel());
     }
 
     @Test
@@ -62,17 +62,17 @@
         aggregator.addReport(FIRST, List.of(waiting(1, 400)), List.of());
         nowMillis += 150;
 
-        assertEquals(250, aggregator.demands(SERVICE).get(MODEL).slackMillis());
+        assertEquals(250, aggregator.demand(SERVICE).of(MODEL).slackMillis());
     }
 
     @Test
     void callRateDecaysWithoutCalls() {
         aggregator.addReport(
                 FIRST, List.of(new WeightDemand("assistant", MODEL, Optional.empty(), 0, 0, 10, 0)), List.of());
-        assertEquals(2, aggregator.demands(SERVICE).get(MODEL).callsPerSecond(), 0.01);
+        assertEquals(2, aggregator.demand(SERVICE).of(MODEL).callsPerSecond(), 0.01);
         nowMillis += 10_000;
 
-        assertTrue(aggregator.demands(SERVICE).get(MODEL).callsPerSecond() < 0.3);
+        assertTrue(aggregator.demand(SERVICE).of(MODEL).callsPerSecond() < 0.3);
     }
 
     @Test
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -1,11 +1,13 @@
 package org.tarragonring.policy.placement;
 
-import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 import org.tarragonring.ids.ModelName;
+import org.tarragonring.upstream.CheckpointTier;
 
 /**
  * Estimates the cost of evicting a model from a replica, expressed as milliseconds of caller waiting time.
@@ -36,16 +38,36 @@
     /** What losing one of several replicas costs for each call a second, as waiting. */
     private static final double CONTENTION_COST_MILLIS = 400;
 
+    /** The weight of the mean call rate in the expected rate of a model, as a number of calls. */
+    private static final double PRIOR_CALLS = 0.5;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private final Map<ModelName, AggregateDemand> demands;
+    private final ServiceDemand demand;
     private final Map<ModelName, Integer> residentReplicas = new HashMap<>();
 
-    EvictionCosts(Iterable<ReplicaSnapshot> replicas, Map<ModelName, AggregateDemand> demands) {
-        this.demands = Objects.requireNonNull(demands, "demands");
+    /** The replicas with a local checkpoint of each model that can load it now. */
+    private final Map<ModelName, Integer> availableCheckpoints = new HashMap<>();
+
+    /** The models that a replica without them can load now from a local checkpoint. */
+    private final Set<ModelName> loadableCheckpoints = new HashSet<>();
+
+    /** The mean call rate of a model that is resident on one replica at most. */
+    private final double meanCallsPerSecond;
+
+    EvictionCosts(Iterable<ReplicaSnapshot> replicas, ServiceDemand demand, int models) {
+        this.demand = Objects.requireNonNull(demand, "demand");
         for (ReplicaSnapshot replica : replicas) {
             replica.state().residents().keySet().forEach(model -> residentReplicas.merge(model, 1, Integer::sum));
+            if (replica.isAvailable()) {
+                replica.state().localCheckpoints().forEach(model -> availableCheckpoints.merge(model, 1, Integer::sum));
+            }
         }
+        this.meanCallsPerSecond = demand.byModel().values().stream()
+                        .filter(called -> residentReplicas(called.model()) <= 1)
+                        .mapToDouble(AggregateDemand::callsPerSecond)
+                        .sum()
+                / Math.max(1, models);
     }
 
     /** Returns how many replicas can run a model. */
@@ -53,9 +75,28 @@
         return residentReplicas.getOrDefault(model, 0);
     }
 
-    /** Returns the highest eviction cost in milliseconds that the calls waiting for a model justify. */
-    double maxCostForWaitingCalls(ModelName model) {
-        return demandFor(model).waitingCalls() * ABSENCE_SECONDS * MISSED_CALL_MILLIS;
+    /**
+     * Returns the highest eviction cost in milliseconds that a load of a model justifies. The calls that wait now are
+     * served by a load that takes no longer than they can wait; the later ones are served by any load.
+     */
+    double maxCostMillis(ModelName model, CheckpointTier tier, long loadMillis) {
+        int waitingCalls = demandFor(model).waitingCalls();
+        double laterCalls = unservedCallsPerSecond(model) * absenceSeconds(loadMillis);
+        double calls = tier == CheckpointTier.REMOTE
+                ? Math.max(waitingCalls, laterCalls)
+                : waitingCalls * ABSENCE_SECONDS + laterCalls;
+        return calls * MISSED_CALL_MILLIS;
+    }
+
+    /** Returns the rate of the calls for a model that exceed what its replicas should have. */
+    double unservedCallsPerSecond(ModelName model) {
+        int required = Math.max(1, requiredReplicas(model));
+        return expectedCallsPerSecond(model) * Math.max(0, required - residentReplicas(model)) / required;
+    }
+
+    /** Checks if a replica that does not hold a model can load it now from a local checkpoint. */
+    boolean hasCheckpointToLoad(ModelName model) {
+        return loadableCheckpoints.contains(model);
     }
 
     /** Counts a model as gone from one replica. */
@@ -65,49 +106,107 @@
 
     /** Returns how much all entries need a model. */
     AggregateDemand demandFor(ModelName model) {
-        return demands.getOrDefault(model, AggregateDemand.none(model));
+        return demand.of(model);
+    }
+
+    /**
+     * Returns the expected call rate of a model. Recent calls count, and so does their absence: the longer calls are
+     * observed, the less is expected of a model without any.
+     */
+    double expectedCallsPerSecond(ModelName model) {
+        AggregateDemand modelDemand = demandFor(model);
+        if (meanCallsPerSecond == 0) {
+            return modelDemand.callsPerSecond();
+        }
+        double estimate = (modelDemand.recentCalls() + PRIOR_CALLS)
+                / (demand.observedSeconds() + PRIOR_CALLS / meanCallsPerSecond);
+        return Math.max(modelDemand.callsPerSecond(), estimate);
+    }
+
+    /** Returns how many replicas the present calls for a model need. */
+    int requiredReplicas(ModelName model) {
+        AggregateDemand modelDemand = demandFor(model);
+        return (int) Math.ceil((modelDemand.runningCalls() + modelDemand.waitingCalls()) / CALLS_PER_REPLICA);
     }
 
-    /** Returns how many replicas a model should have. */
+    /** Returns how many replicas a model should have, so that its calls bear the loss of one. */
     int targetReplicas(ModelName model) {
-        AggregateDemand demand = demandFor(model);
-        int byCalls = (int) Math.ceil((demand.runningCalls() + demand.waitingCalls()) / CALLS_PER_REPLICA);
-        int byRate = demand.callsPerSecond() >= TWO_REPLICAS_CALLS_PER_SECOND ? 2 : 0;
-        return Math.max(byCalls, byRate);
+        boolean isBusy = demandFor(model).callsPerSecond() >= TWO_REPLICAS_CALLS_PER_SECOND;
+        return Math.max(requiredReplicas(model), isBusy ? 2 : 0);
     }
 
-    /** Returns the cost in milliseconds of evicting a model from a replica. */
     /**
-     * Returns what a load costs the calls of the models that the replica keeps. While it loads, a replica loads no
-     * adapter either, so calls that need one wait until the end.
+     * Returns what a load costs the calls of the models that the replica holds. While it loads, a replica loads no
+     * adapter either, so calls that need one wait until the end. Models that the load evicts count, too: their calls lose
+     * more than an adapter.
      *
      * @param replica the replica
-     * @param evictions the models that are evicted for the load
      * @param loadMillis how long the load takes
      * @return the cost in milliseconds of callers' waiting
      */
-    double blockingCostMillis(ReplicaSnapshot replica, Collection<ModelName> evictions, long loadMillis) {
+    double blockingCostMillis(ReplicaSnapshot replica, long loadMillis) {
         double callsPerSecond = 0;
         for (ModelName resident : replica.state().residents().keySet()) {
-            if (!evictions.contains(resident)) {
-                callsPerSecond += demandFor(resident).callsPerSecond() / Math.max(1, residentReplicas(resident));
+            callsPerSecond += demandFor(resident).callsPerSecond() / Math.max(1, residentReplicas(resident));
+        }
+        return BLOCKED_WEIGHT * loadMillis + delayCostMillis(callsPerSecond, loadMillis);
+    }
+
+    /**
+     * Returns what a load costs the calls of the models that no other replica can load from a local checkpoint meanwhile.
+     *
+     * @param replica the replica
+     * @param loadMillis how long the load takes
+     * @return the cost in milliseconds of callers' waiting
+     */
+    double blockedCheckpointsCostMillis(ReplicaSnapshot replica, ModelName loaded, long loadMillis) {
+        double callsPerSecond = 0;
+        for (ModelName checkpoint : replica.state().localCheckpoints()) {
+            if (residentReplicas(checkpoint) == 0
+                    && !checkpoint.equals(loaded)
+                    && availableCheckpoints.getOrDefault(checkpoint, 0) <= 1) {
+                callsPerSecond += expectedCallsPerSecond(checkpoint);
             }
         }
-        double delayedCalls = callsPerSecond * loadMillis / MILLIS_PER_SECOND;
-        return BLOCKED_WEIGHT * loadMillis + delayedCalls * Math.min(loadMillis / 2.0, MISSED_CALL_MILLIS);
+        return delayCostMillis(callsPerSecond, loadMillis);
+    }
+
+    private static double delayCostMillis(double callsPerSecond, long loadMillis) {
+        return callsPerSecond * loadMillis / MILLIS_PER_SECOND * Math.min(loadMillis / 2.0, MISSED_CALL_MILLIS);
     }
 
-    double costMillis(ReplicaSnapshot replica, ModelName model) {
-        AggregateDemand demand = demandFor(model);
+    /**
+     * Returns the cost in milliseconds of evicting a model from a replica for a load.
+     *
+     * @param replica the replica
+     * @param model the model to evict
+     * @param loadMillis how long the load takes, in which the replica cannot load the evicted model again
+     */
+    double costMillis(ReplicaSnapshot replica, ModelName model, long loadMillis) {
         double costMillis = BLOCKED_WEIGHT * replica.unloadWaitMillis(model);
+        double callsPerSecond = expectedCallsPerSecond(model);
         int left = residentReplicas(model) - 1;
         if (left <= 0) {
-            if (demand.waitingCalls() > 0) {
+            if (demandFor(model).waitingCalls() > 0) {
                 return PROHIBITIVE_COST_MILLIS;
             }
-            return costMillis + demand.callsPerSecond() * ABSENCE_SECONDS * MISSED_CALL_MILLIS;
+            int here = replica.isAvailable() && replica.state().nearestTier(model) != CheckpointTier.REMOTE ? 1 : 0;
+            boolean isElsewhere = availableCheckpoints.getOrDefault(model, 0) > here;
+            return costMillis
+                    + callsPerSecond
+                            * (isElsewhere ? ABSENCE_SECONDS : absenceSeconds(loadMillis))
+                            * MISSED_CALL_MILLIS;
         }
+        int required = requiredReplicas(model);
+        double missedShare = left < required ? (required - left) / (double) required : 0;
         double contentionFactor = left < targetReplicas(model) ? 2 : 1;
-        return costMillis + contentionFactor * demand.callsPerSecond() * CONTENTION_COST_MILLIS / left;
+        return costMillis
+                + callsPerSecond
+                        * (contentionFactor * CONTENTION_COST_MILLIS / left
+                                + missedShare * absenceSeconds(loadMillis) * MISSED_CALL_MILLIS);
+    }
+
+    private static double absenceSeconds(long loadMillis) {
+        return ABSENCE_SECONDS + loadMillis / MILLIS_PER_SECOND;
     }
 }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -30,10 +30,10 @@
  */
 public final class PlacementPlanner {
 
-    /** The number of loads that the weight store serves at full speed at once; more of them slow each other down. */
-    static final int MAX_STORE_LOADS = 4;
-
-    /** The same limit for missing checkpoints under traffic; each load blocks a replica from swapping for seconds. */
+    /**
+     * The number of loads of missing checkpoints that may be in progress under traffic; each blocks a replica from swapping
+     * for seconds.
+     */
     static final int MAX_STORE_LOADS_IN_TRAFFIC = 1;
 
     /** The same limit for second checkpoints of busy models, which are fetched in case a replica is lost. */
@@ -58,6 +58,8 @@
     /** The duration of an unload of a model that has no running calls. */
     private static final long UNLOAD_MILLIS = 100;
 
+    private static final long MILLIS_PER_SECOND = 1_000;
+
     /**
      * The call rate from which a model is busy: free memory on its replicas is not filled, and a second checkpoint is
      * allowed.
@@ -82,22 +84,21 @@
      * Decides the next loads.
      *
      * @param replicas the replicas that may receive calls, not null
-     * @param demands the demand by model, not null; models that the engine does not know are ignored
-     * @param maxNewStoreLoads the maximum number of planned loads from the weight store
+     * @param demand the demand, not null; models that the engine does not know are ignored
+     * @param limits the limits for loads from the weight store, not null
      * @return the loads, at most one per replica; empty if there is nothing to load
      */
-    public List<PlannedLoad> plan(
-            Collection<ReplicaSnapshot> replicas, Map<ModelName, AggregateDemand> demands, int maxNewStoreLoads) {
-        PlanningPass pass = new PlanningPass(replicas, demands, maxNewStoreLoads);
-        pass.planLoadsForWaitingCalls();
+    public List<PlannedLoad> plan(Collection<ReplicaSnapshot> replicas, ServiceDemand demand, StoreLoadLimits limits) {
+        PlanningPass pass = new PlanningPass(replicas, demand, limits);
+        pass.planLoadsForCalls();
         if (!pass.hasUnplannedWaitingCalls()) {
             pass.scaleOutBusyModels();
         }
         pass.replicateBusyCheckpoints();
+        pass.fetchMissingCheckpoints();
         if (!pass.hasUnplannedWaitingCalls()) {
             pass.fillFreeMemory();
         }
-        pass.fetchMissingCheckpoints();
         return pass.plannedLoads;
     }
 
@@ -115,19 +116,20 @@
 
         private final List<ReplicaSnapshot> candidates = new ArrayList<>();
         private final Collection<ReplicaSnapshot> replicas;
-        private final Map<ModelName, AggregateDemand> demands;
+        private final ServiceDemand demand;
         private final EvictionCosts evictionCosts;
         private final Set<ModelName> pendingModels = new HashSet<>();
         private final List<PlannedLoad> plannedLoads = new ArrayList<>();
+        private final StoreLoadLimits limits;
         private int storeLoads;
-        private int remainingNewStoreLoads;
+        private int newStoreLoads;
 
-        PlanningPass(
-                Collection<ReplicaSnapshot> replicas, Map<ModelName, AggregateDemand> demands, int maxNewStoreLoads) {
-            this.remainingNewStoreLoads = maxNewStoreLoads;
+        PlanningPass(Collection<ReplicaSnapshot> replicas, ServiceDemand demand, StoreLoadLimits limits) {
+            this.limits = Objects.requireNonNull(limits, "limits");
             this.replicas = replicas;
-            this.demands = demands;
-            this.evictionCosts = new EvictionCosts(replicas, demands);
+            this.demand = demand;
+            this.evictionCosts =
+                    new EvictionCosts(replicas, demand, engine.models().size());
             for (ReplicaSnapshot replica : replicas) {
                 if (replica.controllable()) {
                     candidates.add(replica);
@@ -139,34 +141,60 @@
             }
         }
 
-        void planLoadsForWaitingCalls() {
-            loadable(demands.values().stream()
-                            .filter(demand ->
-                                    demand.waitingCalls() > 0 && evictionCosts.residentReplicas(demand.model()) == 0)
-                            .sorted(Comparator.comparingLong(AggregateDemand::slackMillis))
+        /**
+         * Loads the models that are called but resident on too few replicas: first those that a replica can load from a
+         * local checkpoint, most urgent first, then those of which the store's capacity serves most calls.
+         */
+        void planLoadsForCalls() {
+            loadable(demand.byModel().values().stream()
+                            .filter(this::isUnderserved)
+                            .sorted(Comparator.comparing((AggregateDemand called) ->
+                                            !evictionCosts.hasCheckpointToLoad(called.model()))
+                                    .thenComparingLong(called -> evictionCosts.hasCheckpointToLoad(called.model())
+                                            ? called.slackMillis()
+                                            : 0)
+                                    .thenComparingDouble(
+                                            called -> -evictionCosts.unservedCallsPerSecond(called.model())))
                             .map(AggregateDemand::model)
                             .toList())
                     .forEach(model -> planLoad(
-                            model, PlannedLoad.Reason.WAITING_CALLS, evictionCosts.maxCostForWaitingCalls(model)));
+                            model,
+                            evictionCosts.residentReplicas(model) == 0
+                                    ? PlannedLoad.Reason.WAITING_CALLS
+                                    : PlannedLoad.Reason.BUSY_MODEL));
+        }
+
+        private boolean isUnderserved(AggregateDemand called) {
+            int residentReplicas = evictionCosts.residentReplicas(called.model());
+            return residentReplicas == 0
+                    ? called.waitingCalls() > 0 || isCalledOften(called)
+                    : residentReplicas < evictionCosts.requiredReplicas(called.model());
+        }
+
+        /** Checks if another call is expected while the model is loaded from the weight store. */
+        private boolean isCalledOften(AggregateDemand called) {
+            ModelSpec spec = engine.models().get(called.model());
+            return spec != null
+                    && called.callsPerSecond() * spec.storeLoadTime().toMillis() >= MILLIS_PER_SECOND;
         }
 
         /** Checks if calls wait for a model that is neither resident nor already being loaded or planned. */
         boolean hasUnplannedWaitingCalls() {
-            return demands.values().stream()
-                    .anyMatch(demand -> demand.waitingCalls() > 0
-                            && evictionCosts.residentReplicas(demand.model()) == 0
-                            && !pendingModels.contains(demand.model()));
+            return demand.byModel().values().stream()
+                    .anyMatch(called -> called.waitingCalls() > 0
+                            && evictionCosts.residentReplicas(called.model()) == 0
+                            && !pendingModels.contains(called.model()));
         }
 
+        /** Loads busy models that one replica suffices for on another one, in case that replica is lost. */
         void scaleOutBusyModels() {
-            loadable(demands.keySet().stream()
+            loadable(demand.byModel().keySet().stream()
                             .filter(model ->
                                     evictionCosts.residentReplicas(model) < evictionCosts.targetReplicas(model))
                             .sorted(Comparator.comparingDouble((ModelName model) ->
                                     -evictionCosts.demandFor(model).callsPerSecond()))
                             .toList())
-                    .forEach(model ->
-                            planLoad(model, PlannedLoad.Reason.BUSY_MODEL, MAX_PROACTIVE_EVICTION_COST_MILLIS));
+                    .forEach(model -> planLoad(model, PlannedLoad.Reason.BUSY_MODEL));
         }
 
         /** Loads models from local checkpoints into unused replica memory, those with the highest call rate first. */
@@ -200,7 +228,7 @@
             Map<ModelName, Integer> replicaCounts = checkpointReplicas();
             double minCallsPerSecond = Math.max(
                     BUSY_MODEL_CALLS_PER_SECOND,
-                    SECOND_CHECKPOINT_RATE_FACTOR * callsPerSecond() / Math.max(1, replicas.size()));
+                    SECOND_CHECKPOINT_RATE_FACTOR * demand.callsPerSecond() / Math.max(1, replicas.size()));
             planFetches(
                     replicaCounts.keySet().stream()
                             .filter(model -> replicaCounts.get(model) == 1
@@ -215,14 +243,12 @@
             missing.removeAll(checkpointReplicas().keySet());
             planFetches(
                     List.copyOf(missing),
-                    callsPerSecond() < IDLE_CALLS_PER_SECOND ? MAX_STORE_LOADS : MAX_STORE_LOADS_IN_TRAFFIC,
+                    isIdle() ? Math.max(1, limits.maxConcurrentLoads() / 2) : MAX_STORE_LOADS_IN_TRAFFIC,
                     PlannedLoad.Reason.NO_COPY);
         }
 
-        private double callsPerSecond() {
-            return demands.values().stream()
-                    .mapToDouble(AggregateDemand::callsPerSecond)
-                    .sum();
+        private boolean isIdle() {
+            return demand.callsPerSecond() < IDLE_CALLS_PER_SECOND;
         }
 
         private void planFetches(List<ModelName> models, int maxStoreLoads, PlannedLoad.Reason reason) {
@@ -233,7 +259,7 @@
                             .toList())
                     .forEach(model -> {
                         if (storeLoads < maxStoreLoads) {
-                            planLoad(model, reason, MAX_PROACTIVE_EVICTION_COST_MILLIS);
+                            planLoad(model, reason);
                         }
                     });
         }
@@ -258,12 +284,12 @@
          * Plans a load on the replica with the lowest cost. If that replica cannot start a load yet and calls are
          * waiting, reserves the replica for the model in this pass instead.
          */
-        private void planLoad(ModelName model, PlannedLoad.Reason reason, double maxEvictionCostMillis) {
+        private void planLoad(ModelName model, PlannedLoad.Reason reason) {
             Optional<LoadOption> best = candidates.stream()
                     .filter(replica -> !replica.state().holds(model, ""))
                     .filter(replica -> replica.state().nearestTier(model) != CheckpointTier.REMOTE
-                            || remainingNewStoreLoads > 0 && isStoreLoadWorthwhile(replica, model, reason))
-                    .flatMap(replica -> findOption(replica, model, maxEvictionCostMillis).stream())
+                            || mayLoadFromStore() && isStoreLoadWorthwhile(replica, model, reason))
+                    .flatMap(replica -> findOption(replica, model, reason).stream())
                     .min(Comparator.comparingDouble(LoadOption::costMillis));
             best.ifPresent(option -> {
                 if (option.replica.isAvailable()) {
@@ -275,6 +301,14 @@
             });
         }
 
+        private static boolean isForCalls(PlannedLoad.Reason reason) {
+            return reason == PlannedLoad.Reason.WAITING_CALLS || reason == PlannedLoad.Reason.BUSY_MODEL;
+        }
+
+        private boolean mayLoadFromStore() {
+            return newStoreLoads < limits.maxNewLoads() && storeLoads < limits.maxConcurrentLoads();
+        }
+
         /** Checks if a store load, which blocks the replica for seconds, is justified. */
         private boolean isStoreLoadWorthwhile(ReplicaSnapshot replica, ModelName model, PlannedLoad.Reason reason) {
             if (reason == PlannedLoad.Reason.NO_COPY
@@ -282,20 +316,22 @@
                     || replica.state().residents().isEmpty()) {
                 return true;
             }
+            if (reason == PlannedLoad.Reason.BUSY_MODEL) {
+                return evictionCosts.unservedCallsPerSecond(model) > 0 && !evictionCosts.hasCheckpointToLoad(model);
+            }
             boolean hasCheckpoint = replicas.stream()
                     .anyMatch(
                             other -> other.controllable() && other.state().nearestTier(model) != CheckpointTier.REMOTE);
-            return reason == PlannedLoad.Reason.WAITING_CALLS
-                    && (!hasCheckpoint
-                            || evictionCosts.demandFor(model).waitingCalls() >= STORE_LOAD_MIN_WAITING_CALLS
-                            || evictionCosts.demandFor(model).slackMillis() < STORE_LOAD_MAX_SLACK_MILLIS);
+            return !hasCheckpoint
+                    || evictionCosts.demandFor(model).waitingCalls() >= STORE_LOAD_MIN_WAITING_CALLS
+                    || evictionCosts.demandFor(model).slackMillis() < STORE_LOAD_MAX_SLACK_MILLIS;
         }
 
         private void addLoad(LoadOption option, ModelName model, PlannedLoad.Reason reason) {
             CheckpointTier tier = option.replica.state().nearestTier(model);
             if (tier == CheckpointTier.REMOTE) {
                 storeLoads++;
-                remainingNewStoreLoads--;
+                newStoreLoads++;
             }
             candidates.remove(option.replica);
             pendingModels.add(model);
@@ -313,30 +349,43 @@
          * Selects the models to evict from a replica, cheapest first, and computes the total cost of the load. Returns
          * empty if the model does not fit or the evictions cost too much.
          */
-        private Optional<LoadOption> findOption(
-                ReplicaSnapshot replica, ModelName model, double maxEvictionCostMillis) {
+        private Optional<LoadOption> findOption(ReplicaSnapshot replica, ModelName model, PlannedLoad.Reason reason) {
+            long loadMillis = loadTime(replica.state(), model).toMillis();
+            double maxEvictionCostMillis = Math.max(
+                    isForCalls(reason)
+                            ? evictionCosts.maxCostMillis(model, replica.state().nearestTier(model), loadMillis)
+                            : 0,
+                    reason == PlannedLoad.Reason.WAITING_CALLS ? 0 : MAX_PROACTIVE_EVICTION_COST_MILLIS);
+            boolean keepsPlacedModels = reason != PlannedLoad.Reason.WAITING_CALLS && isIdle();
             double requiredMegabytes = weightsMegabytes(model);
             double freeMegabytes = freeMegabytes(replica);
             double evictionCostMillis = 0;
             List<ModelName> evictions = new ArrayList<>();
             List<ModelName> cheapestFirst = replica.state().residents().keySet().stream()
                     .sorted(Comparator.comparingDouble(
-                                    (ModelName candidate) -> evictionCosts.costMillis(replica, candidate))
+                                    (ModelName candidate) -> evictionCosts.costMillis(replica, candidate, loadMillis))
                             .thenComparing(ModelName::value))
                     .toList();
             for (ModelName victim : cheapestFirst) {
                 if (freeMegabytes >= requiredMegabytes) {
                     break;
                 }
+                if (keepsPlacedModels && replica.state().isPlaced(victim)) {
+                    continue;
+                }
                 evictions.add(victim);
                 freeMegabytes += weightsMegabytes(victim);
-                evictionCostMillis += evictionCosts.costMillis(replica, victim);
+                evictionCostMillis += evictionCosts.costMillis(replica, victim, loadMillis);
             }
-            if (freeMegabytes < requiredMegabytes || evictionCostMillis >= maxEvictionCostMillis) {
+            boolean isBlocking = isForCalls(reason) && replica.state().nearestTier(model) == CheckpointTier.REMOTE;
+            double blockedMillis =
+                    isBlocking ? evictionCosts.blockedCheckpointsCostMillis(replica, model, loadMillis) : 0;
+            if (freeMegabytes < requiredMegabytes
+                    || !evictions.isEmpty() && evictionCostMillis >= maxEvictionCostMillis
+                    || blockedMillis + evictionCostMillis > maxEvictionCostMillis && isBlocking) {
                 return Optional.empty();
             }
-            long loadMillis = loadTime(replica.state(), model).toMillis();
-            evictionCostMillis += evictionCosts.blockingCostMillis(replica, evictions, loadMillis);
+            evictionCostMillis += blockedMillis + evictionCosts.blockingCostMillis(replica, loadMillis);
             long loadDelayMillis = replica.availableInMillis() + loadMillis;
             double costMillis =
                     loadDelayMillis * Math.max(1, evictionCosts.demandFor(model).waitingCalls())
--- /dev/null
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/StoreLoadLimits.java
@@ -0,0 +1,21 @@
+package org.tarragonring.policy.placement;
+
+/**
+ * Limits the loads from the weight store in one planning pass.
+ *
+ * @param maxNewLoads the number of loads that may begin now within the rate that the store allows
+ * @param maxConcurrentLoads the number of loads that may be in progress at once
+ * @since 0.2.0
+ */
+public record StoreLoadLimits(int maxNewLoads, int maxConcurrentLoads) {
+
+    /** Checks the arguments. */
+    public StoreLoadLimits {
+        if (maxNewLoads < 0) {
+            throw new IllegalArgumentException("maxNewLoads is negative: " + maxNewLoads);
+        }
+        if (maxConcurrentLoads < 1) {
+            throw new IllegalArgumentException("maxConcurrentLoads is less than 1: " + maxConcurrentLoads);
+        }
+    }
+}
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -30,10 +30,7 @@
     /** The maximum age of a registration: a heartbeat interval, its publication and the interval of list polls. */
     static final long MAX_LIST_LAG_MILLIS = 3_500;
 
-    /**
-     * How long a load may be overdue without an update before its lease holder is considered gone; a live lease holder
-     * polls the replica many times a second.
-     */
+    /** How long a load may be overdue without an update before its lease holder, which polls it, is considered gone. */
     static final long MAX_LOAD_OVERDUE_MILLIS = 1_000;
 
     private final MonotonicClock clock;
@@ -45,6 +42,7 @@
     private final Map<ModelName, Set<String>> residents = new HashMap<>();
     private final Map<ModelName, Integer> inFlight = new HashMap<>();
     private final Map<String, Long> unavailableUntilMillis = new HashMap<>();
+    private Set<ModelName> placed = Set.of();
     private Set<ModelName> inMemory = Set.of();
     private Set<ModelName> onDisk = Set.of();
     private Optional<ModelName> loading = Optional.empty();
@@ -298,6 +296,16 @@
         return Map.copyOf(residents);
     }
 
+    /**
+     * Checks if a model was resident when this process of the replica became known.
+     *
+     * @param model the model, not null
+     * @return true if it was, also if it has been evicted since
+     */
+    public boolean isPlaced(ModelName model) {
+        return placed.contains(model);
+    }
+
     /**
      * Returns the fastest storage tier from which the replica can load a model.
      *
@@ -418,6 +426,7 @@
         unavailableUntilMillis.clear();
         residents.clear();
         holdings.residents().forEach(this::addResident);
+        placed = Set.copyOf(holdings.residents().keySet());
         inMemory = holdings.inMemory();
         onDisk = holdings.onDisk();
         loading = Optional.empty();
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -39,6 +39,8 @@
     private static final ModelName IDLE = new ModelName("idle");
     private static final ModelName LARGE = new ModelName("large");
 
+    private static final StoreLoadLimits UNLIMITED = new StoreLoadLimits(Integer.MAX_VALUE, Integer.MAX_VALUE);
+
     private final Map<ModelName, AggregateDemand> demands = new HashMap<>();
     private final List<ReplicaSnapshot> replicas = new ArrayList<>();
     private final PlacementPlanner planner = new PlacementPlanner(engine());
@@ -85,7 +87,7 @@
         demand(BUSY, 0, 3, 2.8);
         rare.forEach(model -> demand(model, 1, 0, 0.1));
 
-        List<PlannedLoad> plannedLoads = planner.plan(replicas, demands, Integer.MAX_VALUE);
+        List<PlannedLoad> plannedLoads = planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED);
 
         assertEquals(
                 3, plannedLoads.stream().map(PlannedLoad::replicaId).distinct().count());
@@ -101,7 +103,7 @@
         replica("r2", Set.of(BUSY), Set.of(RARE), Map.of());
         demand(RARE, 5, 0, 1);
 
-        assertFalse(planner.plan(replicas, demands, Integer.MAX_VALUE).stream()
+        assertFalse(planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED).stream()
                 .anyMatch(load -> load.model().equals(RARE)));
     }
 
@@ -112,7 +114,7 @@
         replica("r2", Set.of(BUSY), Set.of(RARE), Map.of());
         demand(RARE, 1, 0, 0.1);
 
-        assertFalse(planner.plan(replicas, demands, Integer.MAX_VALUE).stream()
+        assertFalse(planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED).stream()
                 .anyMatch(load -> load.model().equals(RARE)));
     }
 
@@ -123,7 +125,7 @@
         demand(IDLE, 1, 0, 0);
         demand(RARE, 1, 0, 0.1);
 
-        assertEquals(List.of(), planner.plan(replicas, demands, Integer.MAX_VALUE));
+        assertEquals(List.of(), planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED));
     }
 
     @Test
@@ -133,7 +135,7 @@
         demand(OTHER_BUSY, 0, 3, 3);
         demand(RARE, 1, 0, 0.1);
 
-        assertEquals(List.of(), planner.plan(replicas, demands, Integer.MAX_VALUE));
+        assertEquals(List.of(), planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED));
     }
 
     @Test
@@ -214,7 +216,7 @@
         demand(BUSY, 0, 1, 1.2);
         demand(OTHER_BUSY, 0, 1, 1.2);
 
-        assertFalse(planner.plan(replicas, demands, Integer.MAX_VALUE).stream()
+        assertFalse(planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED).stream()
                 .anyMatch(load -> load.reason() == PlannedLoad.Reason.SINGLE_COPY));
     }
 
@@ -231,14 +233,15 @@
     }
 
     @Test
-    void idleServiceFetchesMissingCheckpointsUpToStoreLimit() {
+    void idleServiceFetchesMissingCheckpointsUpToHalfOfTheStoreLimit() {
         for (int i = 1; i <= 6; i++) {
             replica("r" + i, Set.of(BUSY), Set.of(), Map.of());
         }
 
-        List<PlannedLoad> plannedLoads = planner.plan(replicas, demands, Integer.MAX_VALUE);
+        List<PlannedLoad> plannedLoads =
+                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(9, 4));
 
-        assertEquals(PlacementPlanner.MAX_STORE_LOADS, plannedLoads.size());
+        assertEquals(2, plannedLoads.size(), "the other half of the limit is for calls");
         assertTrue(plannedLoads.stream().allMatch(load -> load.reason() == PlannedLoad.Reason.NO_COPY));
     }
 
@@ -247,7 +250,7 @@
         replica("r1", Set.of(BUSY), Set.of(BUSY, RARE), Map.of());
         demand(BUSY, 0, 3, 1.2);
 
-        assertFalse(planner.plan(replicas, demands, Integer.MAX_VALUE).stream()
+        assertFalse(planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED).stream()
                 .anyMatch(load -> load.model().equals(RARE)));
     }
 
@@ -260,7 +263,7 @@
 
         assertEquals(
                 PlacementPlanner.MAX_STORE_LOADS_IN_TRAFFIC,
-                planner.plan(replicas, demands, Integer.MAX_VALUE).size());
+                planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED).size());
     }
 
     @Test
@@ -278,8 +281,11 @@
         }
         List.of(RARE, OTHER_BUSY, IDLE).forEach(model -> demand(model, 1, 0, 0.1));
 
-        assertEquals(2, planner.plan(replicas, demands, 2).size());
-        assertEquals(List.of(), planner.plan(replicas, demands, 0));
+        assertEquals(
+                2,
+                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(2, 9))
+                        .size());
+        assertEquals(List.of(), planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(0, 9)));
     }
 
     @Test
@@ -287,7 +293,10 @@
         replica("r1", Set.of(IDLE), Set.of(IDLE, RARE), Map.of());
         demand(RARE, 1, 0, 0.1);
 
-        assertEquals(1, planner.plan(replicas, demands, 0).size());
+        assertEquals(
+                1,
+                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(0, 9))
+                        .size());
     }
 
     @Test
@@ -296,18 +305,18 @@
         ModelName unknown = new ModelName("unknown");
         demand(unknown, 1, 0, 0.1);
 
-        assertFalse(planner.plan(replicas, demands, Integer.MAX_VALUE).stream()
+        assertFalse(planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED).stream()
                 .anyMatch(load -> load.model().equals(unknown)));
     }
 
     private PlannedLoad onlyPlannedLoad() {
-        List<PlannedLoad> plannedLoads = planner.plan(replicas, demands, Integer.MAX_VALUE);
+        List<PlannedLoad> plannedLoads = planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED);
         assertEquals(1, plannedLoads.size(), plannedLoads.toString());
         return plannedLoads.get(0);
     }
 
     private PlannedLoad plannedLoadOf(ModelName model) {
-        return planner.plan(replicas, demands, Integer.MAX_VALUE).stream()
+        return planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED).stream()
                 .filter(load -> load.model().equals(model))
                 .findFirst()
                 .orElseThrow();
@@ -328,8 +337,69 @@
         assertEquals("r2", load.replicaId().value());
     }
 
+    // Guards against loads for waiting calls that make all loads from the weight store, and all replicas, wait for each
+    // other.
+    @Test
+    void waitingCallsLoadNoMoreModelsFromStoreThanItServesAtFullSpeed() {
+        for (int i = 1; i <= 4; i++) {
+            replica("r" + i, Set.of(), Set.of(), Map.of());
+        }
+        List.of(RARE, OTHER_BUSY, IDLE, BUSY).forEach(model -> demand(model, 1, 0, 0.2));
+
+        List<PlannedLoad> plannedLoads =
+                planner.plan(replicas, new ServiceDemand(demands, 5), new StoreLoadLimits(9, 2));
+
+        assertEquals(2, plannedLoads.size());
+    }
+
+    // Guards against busy models that are evicted replica by replica until their calls have too few.
+    @Test
+    void singleCallForModelWithoutCheckpointTakesNoReplicaThatBusyModelNeeds() {
+        for (int i = 1; i <= 5; i++) {
+            replica("r" + i, Set.of(BUSY, OTHER_BUSY), Set.of(BUSY, OTHER_BUSY), Map.of());
+        }
+        demand(BUSY, 0, 35, 15);
+        demand(OTHER_BUSY, 0, 35, 15);
+        demand(RARE, 1, 0, 0.2);
+
+        assertEquals(List.of(), planner.plan(replicas, new ServiceDemand(demands, 5), UNLIMITED));
+    }
+
+    // Guards against calls that are refused for a model on disk because its replica loads another one for many seconds.
+    @Test
+    void loadFromStoreAvoidsReplicaWithTheOnlyCheckpointOfCalledModel() {
+        replica("r1", Set.of(IDLE), Set.of(IDLE, LARGE), Map.of());
+        replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
+        demands.put(LARGE, new AggregateDemand(LARGE, 0, 0, 0.05, 3, Long.MAX_VALUE));
+        demand(RARE, 1, 0, 0.5);
+
+        PlannedLoad load = planner.plan(replicas, new ServiceDemand(demands, 15), UNLIMITED).stream()
+                .filter(planned -> planned.model().equals(RARE))
+                .findFirst()
+                .orElseThrow();
+
+        assertEquals("r2", load.replicaId().value());
+    }
+
+    // Guards against speculative loads that evict what the deployment has placed for the first calls.
+    @Test
+    void idleServiceKeepsPlacedModels() {
+        replica("r1", Set.of(BUSY, OTHER_BUSY), Set.of(BUSY, OTHER_BUSY), Map.of());
+
+        assertEquals(List.of(), planner.plan(replicas, new ServiceDemand(demands, 0), UNLIMITED));
+    }
+
+    // Guards against models that are never loaded because their calls are refused before the next planning pass.
+    @Test
+    void modelWhoseCallsWereRefusedIsLoaded() {
+        replica("r1", Set.of(IDLE), Set.of(IDLE), Map.of());
+        demand(RARE, 0, 0, 0.3);
+
+        assertEquals("r1", plannedLoadOf(RARE).replicaId().value());
+    }
+
     private void demand(ModelName model, int waiting, int running, double callsPerSecond) {
-        demands.put(model, new AggregateDemand(model, waiting, running, callsPerSecond, 1_000));
+        demands.put(model, new AggregateDemand(model, waiting, running, callsPerSecond, 0, 1_000));
     }
 
     private ReplicaSnapshot replica(
