Refuse a call for which no load is expected while it could still be served elsewhere

Callers were held for 0.45 of their time (6.8 s of 15) before they were told that no load was in progress.

Cause: the moment was a fraction of the deadline, whatever a load takes. It is now the last one at which a load from disk could still meet the objective of the call, and not before a load can have been planned.

Ruled out: a smaller fraction, which would hold for one deployment only.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -144,7 +144,11 @@
                 memory,
                 new StreamResumption(
                         context.streamVersions, context.servingVersions, context.catalog, context.processCheck),
-                context.metrics);
+                context.metrics,
+                new LoadExpectation(
+                        context.catalog,
+                        clock,
+                        (service, model) -> config.get().flatMap(current -> current.findModel(service, model))));
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -95,6 +95,7 @@
      * @param memory bounds what is kept of responses, not null
      * @param resumption keeps streams at the software version that began them, not null
      * @param metrics records metrics of calls, not null
+     * @param loadExpectation decides how long calls wait for a load, not null
      */
     Forwarder(
             CallCodec codec,
@@ -111,7 +112,8 @@
             LeavingReplicas leavingReplicas,
             MemoryBudget memory,
             StreamResumption resumption,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            LoadExpectation loadExpectation) {
         this.codec = Objects.requireNonNull(codec, "codec");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.client = Objects.requireNonNull(client, "client");
@@ -126,7 +128,7 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.durationEstimator = new CallDurationEstimator(clock);
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
-        this.loadExpectation = new LoadExpectation(catalog, clock);
+        this.loadExpectation = Objects.requireNonNull(loadExpectation, "loadExpectation");
         this.context = new Attempt.Context(
                 codec,
                 ejections,
@@ -302,10 +304,8 @@
     }
 
     private void refuseUnlessLoadExpected(Exchange exchange) {
-        boolean isWaiting = !exchange.finished && !exchange.responseStarted && waiting.contains(exchange);
-        if (isWaiting && !loadExpectation.isLoadExpected(exchange)) {
-            WeightKey key = exchange.weights.orElseThrow();
-            refuse(exchange, "no load in progress for model %s %s".formatted(key.model(), key.adapter()));
+        if (waiting.contains(exchange) && !loadExpectation.mayWait(exchange)) {
+            refuse(exchange, LoadExpectation.refusalReason(exchange));
         }
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
 
 /**
@@ -72,6 +73,19 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Finds a model of a service.
+     *
+     * @param service the service, not null
+     * @param model the model, not null
+     * @return the model, or empty if the service is unknown or does not have it
+     */
+    public Optional<ModelSpec> findModel(ServiceName service, ModelName model) {
+        return findService(service)
+                .flatMap(ServiceSpec::engine)
+                .map(engine -> engine.models().get(model));
+    }
+
     /**
      * Returns the services.
      *
