Answer each request for a load that is not carried out

The planner did not know of that load, as its notice was lost, and planned for the replica again and again.

Class: a request that is dropped without an answer, and a state that is told but never confirmed. The holder now answers with the state of the replica, also when a load failed; requests that reach an entry without the lease are logged.

senderOfLoadRequestDuringAnotherLoadIsToldTheStateOfTheReplica fails before: nobody was told.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -138,6 +138,12 @@
     /** A report of the demand for models was truncated. */
     DEMAND_TRUNCATED(
             425, Logger.Level.WARN, "the planning entry is told of the %s most urgent of %s demands for models"),
+    /** A request for a load was rejected because another load is in progress on the replica; its sender was told. */
+    LOAD_REQUEST_REJECTED(
+            426, Logger.Level.INFO, "rejected load of model %s on replica %s for entry %s, model %s is being loaded"),
+    /** A request for a load was dropped because this entry does not hold the order lease or does not know the replica. */
+    LOAD_REQUEST_MISDIRECTED(
+            427, Logger.Level.INFO, "dropped load of model %s adapter \"%s\" on replica %s for entry %s: %s"),
     /** A serving configuration was activated. */
     SERVING_CONFIG_ACTIVATED(
             610,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/LoadRequestRouter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/LoadRequestRouter.java
@@ -11,6 +11,7 @@
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.UpstreamId;
+import org.tarragonring.log.LogEvent;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ServiceSpec;
@@ -101,6 +102,12 @@
         Optional<EngineSpec> engine = Optional.ofNullable(replica).flatMap(this::engineOf);
         GroupLease lease = leaseManager.leaseOf(request.replica());
         if (engine.isEmpty() || !lease.isHeld()) {
+            LogEvent.LOAD_REQUEST_MISDIRECTED.log(
+                    request.model(),
+                    request.adapter(),
+                    request.replica(),
+                    from,
+                    lease.isHeld() ? "replica unknown" : "order lease not held");
             return;
         }
         executorOf(replica).submit(from, request, engine.get());
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
@@ -118,7 +118,8 @@
     }
 
     /**
-     * Enqueues a request unless it is already queued; a model load is also dropped if another one is queued.
+     * Enqueues a request unless it is already queued. A model load is rejected if another one is queued; its sender then
+     * gets the state of the replica, which it does not know.
      *
      * @param from the entry that is told when an adapter is loaded, not null
      * @param request the request, not null
@@ -126,12 +127,16 @@
      */
     void submit(EntryId from, PeerMessage.LoadRequest request, EngineSpec engine) {
         LoadRequestQueue queue = request.adapter().isEmpty() ? modelLoads : adapterLoads;
-        if (queue.isQueued(from, request) || queue == modelLoads && !modelLoads.isEmpty()) {
-            return;
-        }
-        queue.add(from, request);
-        if (!queue.running) {
-            runNext(queue, engine);
+        boolean isQueued = queue.isQueued(from, request);
+        if (queue == modelLoads && !modelLoads.isEmpty()) {
+            LogEvent.LOAD_REQUEST_REJECTED.log(
+                    request.model(), id, from, modelLoads.first().request().model());
+            catalog.find(id).ifPresent(replica -> broadcaster.reply(replica, from));
+        } else if (!isQueued) {
+            queue.add(from, request);
+            if (!queue.running) {
+                runNext(queue, engine);
+            }
         }
     }
 
@@ -160,6 +165,7 @@
         ordersWithoutReply = 0;
         Uni<Boolean> work = queue == modelLoads
                 ? loadModel(replica, next.request(), engine)
+                        .invoke(loaded -> onModelRequestEnded(replica, next, loaded))
                 : loadAdapter(replica, next.request(), engine)
                         .invoke(loaded -> onAdapterRequestEnded(replica, next, loaded));
         work.subscribe().with(done -> completeCurrent(queue, engine), failure -> {
@@ -168,6 +174,13 @@
         });
     }
 
+    /** Tells the senders of a request that it failed; that a model is loaded is told to all entries. */
+    private void onModelRequestEnded(ReplicaState replica, LoadRequestQueue.Item ended, boolean loaded) {
+        if (!loaded) {
+            ended.requesters().forEach(requester -> broadcaster.reply(replica, requester));
+        }
+    }
+
     private void onAdapterRequestEnded(ReplicaState replica, LoadRequestQueue.Item ended, boolean loaded) {
         if (loaded) {
             ended.requesters().remove(self);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaStateBroadcaster.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaStateBroadcaster.java
@@ -92,6 +92,11 @@
         receivers.forEach(receiver -> sender.accept(receiver, notice));
     }
 
+    /** Sends the state to an entry whose request shows that it does not know it. */
+    void reply(ReplicaState replica, EntryId requester) {
+        sender.accept(requester, notice(replica));
+    }
+
     private void sendToAll(ReplicaState replica) {
         broadcastMillis = clock.millis();
         broadcaster.accept(notice(replica));
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
@@ -105,6 +105,16 @@
         assertFalse(replica.models.containsKey(SECOND_MODEL));
     }
 
+    // Guards against a planner that goes on planning for a replica because notices of the load in progress were lost.
+    @Test
+    void senderOfLoadRequestDuringAnotherLoadIsToldTheStateOfTheReplica() {
+        executor.submit(SELF, new PeerMessage.LoadRequest(REPLICA, SECOND_MODEL, "", List.of(FIRST_MODEL)), engine());
+
+        executor.submit(OTHER, new PeerMessage.LoadRequest(REPLICA, FIRST_MODEL, "", List.of()), engine());
+
+        assertEquals(List.of(OTHER), told);
+    }
+
     @Test
     void orderWithoutReplyIsRetried() {
         replica.repliesToLose = 1;
