Keep calls waiting while a replica can load their model in time, and repeat overdue loads elsewhere

- A waiting call is checked twice: first whether any replica can have loaded its model in time, last, as before, whether a load is in progress.
- A load that is overdue no longer keeps its model from being loaded elsewhere.
Two of 40 loads "from disk" took 18 s, as the replica had dropped the copy meanwhile; their models had up to 174 waiting calls.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -148,6 +148,7 @@
                 new LoadExpectation(
                         context.catalog,
                         clock,
+                        context.timers,
                         (service, model) -> config.get().flatMap(current -> current.findModel(service, model))));
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
         this.demandReporter =
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -291,7 +291,7 @@
         waiting.add(exchange);
         if (!exchange.loadCheckScheduled) {
             exchange.loadCheckScheduled = true;
-            timers.schedule(loadExpectation.checkDelay(exchange), () -> refuseUnlessLoadExpected(exchange));
+            loadExpectation.scheduleChecks(exchange, waiting::contains, reason -> refuse(exchange, reason));
         }
         WeightKey key = exchange.weights.orElseThrow();
         LogEvent.CALL_WAITING.logForCall(
@@ -303,12 +303,6 @@
         onWaiting.run();
     }
 
-    private void refuseUnlessLoadExpected(Exchange exchange) {
-        if (waiting.contains(exchange) && !loadExpectation.mayWait(exchange)) {
-            refuse(exchange, LoadExpectation.refusalReason(exchange));
-        }
-    }
-
     private void send(Exchange exchange, ReplicaState replica) {
         metrics.recordWait(clock.millis() - exchange.arrivalMillis);
         exchange.replica = replica;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
@@ -12,6 +14,8 @@
 import org.tarragonring.policy.config.ModelSpec;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
+import org.tarragonring.time.Timers;
+import org.tarragonring.upstream.CheckpointTier;
 
 /**
  * Decides how long a call waits for its model or adapter before it is refused.
@@ -23,63 +27,128 @@
     /** The time in which a load that a call needs is planned and announced. */
     private static final Duration PLANNING_TIME = Duration.ofMillis(300);
 
+    /** The fraction of the first-event timeout after which a waiting call is refused unless a load is in progress. */
+    private static final double MAX_WAIT_FRACTION = 0.45;
+
     /** The shortest time from the end of a model's load to the first event of a call. */
     private static final long MIN_LOAD_TO_FIRST_EVENT_MILLIS = 100;
 
     private final ReplicaCatalog catalog;
     private final MonotonicClock clock;
+    private final Timers timers;
     private final BiFunction<ServiceName, ModelName, Optional<ModelSpec>> modelSpec;
 
     LoadExpectation(
             ReplicaCatalog catalog,
             MonotonicClock clock,
+            Timers timers,
             BiFunction<ServiceName, ModelName, Optional<ModelSpec>> modelSpec) {
+        this.timers = Objects.requireNonNull(timers, "timers");
         this.modelSpec = Objects.requireNonNull(modelSpec, "modelSpec");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.clock = Objects.requireNonNull(clock, "clock");
     }
 
     /**
-     * Returns the time until the call is refused unless a load is expected: until a load from a local checkpoint that begins
-     * then could not serve it within its objective. The refusal comes early enough for the caller to retry.
+     * Checks a waiting call twice, and has it refused once it is known that it cannot be served.
+     *
+     * @param exchange the call
+     * @param isWaiting returns whether it still waits
+     * @param refuse refuses it, with the given reason
      */
-    Duration checkDelay(Exchange exchange) {
-        long swapMillis = exchange.weights
-                .flatMap(key -> modelSpec.apply(key.service(), key.model()))
-                .map(spec -> spec.diskLoadTime().toMillis())
-                .orElse(0L);
+    void scheduleChecks(Exchange exchange, Predicate<Exchange> isWaiting, Consumer<String> refuse) {
+        scheduleCheck(exchange, firstCheckDelay(exchange), isWaiting.and(call -> !canBeServed(call)), refuse);
+        scheduleCheck(exchange, lastCheckDelay(exchange), isWaiting.and(call -> !isLoadExpected(call)), refuse);
+    }
+
+    private void scheduleCheck(
+            Exchange exchange, Duration delay, Predicate<Exchange> isRefused, Consumer<String> refuse) {
+        timers.schedule(delay, () -> {
+            if (isRefused.test(exchange)) {
+                WeightKey key = exchange.weights.orElseThrow();
+                refuse.accept("no load in progress for model %s %s".formatted(key.model(), key.adapter()));
+            }
+        });
+    }
+
+    /**
+     * Returns the time until the first check of a waiting call: until a load from a local checkpoint that begins then could
+     * not serve it within its objective.
+     */
+    Duration firstCheckDelay(Exchange exchange) {
         long objectiveMillis =
                 exchange.arrivalMillis + exchange.route.latencyObjective().toMillis();
-        long checkAtMillis = Math.max(
-                exchange.arrivalMillis + PLANNING_TIME.toMillis(),
-                Math.min(objectiveMillis, exchange.firstEventDeadlineMillis) - swapMillis);
-        return Duration.ofMillis(Math.max(0, checkAtMillis - clock.millis()));
+        return until(Math.min(
+                lastCheckMillis(exchange),
+                Math.max(exchange.arrivalMillis + PLANNING_TIME.toMillis(), objectiveMillis - swapMillis(exchange))));
     }
 
     /**
-     * Returns whether a call goes on waiting: its response has begun, or a replica holds its model or will have loaded it in
-     * time. An adapter whose model is resident is loaded soon, so a call that needs one keeps waiting.
+     * Returns the time until the last check of a waiting call. A refusal then comes early enough for the caller to retry;
+     * a caller that is held until its timeout does not retry.
      */
-    boolean mayWait(Exchange exchange) {
-        return exchange.responseStarted || isLoadExpected(exchange);
+    private Duration lastCheckDelay(Exchange exchange) {
+        return until(lastCheckMillis(exchange));
     }
 
-    private boolean isLoadExpected(Exchange exchange) {
+    /**
+     * Returns whether a call goes on waiting after its first check: its response has begun, or a replica can have loaded
+     * its model in time.
+     */
+    boolean canBeServed(Exchange exchange) {
+        return exchange.responseStarted
+                || anyReplica(exchange, (replica, key, latestMillis) -> {
+                    boolean hasCheckpoint = replica.nearestTier(key.model()) != CheckpointTier.REMOTE;
+                    long freeAtMillis =
+                            replica.loading().isPresent() ? replica.expectedLoadEndMillis() : clock.millis();
+                    return isHeldOrLoadedBy(replica, key, latestMillis)
+                            || hasCheckpoint && freeAtMillis + swapMillis(exchange) <= latestMillis;
+                });
+    }
+
+    /**
+     * Returns whether a call goes on waiting after its last check: its response has begun, or a replica holds its model or
+     * will have loaded it in time. An adapter whose model is resident is loaded soon, so a call that needs one keeps waiting.
+     */
+    boolean isLoadExpected(Exchange exchange) {
+        return exchange.responseStarted || anyReplica(exchange, LoadExpectation::isHeldOrLoadedBy);
+    }
+
+    private boolean anyReplica(Exchange exchange, ReplicaCheck check) {
         WeightKey key = exchange.weights.orElseThrow();
         long latestMillis = exchange.firstEventDeadlineMillis - MIN_LOAD_TO_FIRST_EVENT_MILLIS;
         return catalog.serving(key.service()).stream()
                 .filter(exchange::isContinuedBy)
                 .filter(replica -> clock.millis() + replica.availability().pauseMillis() <= latestMillis)
-                .anyMatch(replica -> replica.holds(key.model(), "") || isLoadedBy(replica, key, latestMillis));
+                .anyMatch(replica -> check.test(replica, key, latestMillis));
     }
 
-    /** Returns the reason for the refusal of a call for which no load is expected. */
-    static String refusalReason(Exchange exchange) {
-        WeightKey key = exchange.weights.orElseThrow();
-        return "no load in progress for model %s %s".formatted(key.model(), key.adapter());
+    private static boolean isHeldOrLoadedBy(ReplicaState replica, WeightKey key, long latestMillis) {
+        return replica.holds(key.model(), "")
+                || replica.loading().equals(Optional.of(key.model()))
+                        && replica.expectedLoadEndMillis() <= latestMillis;
+    }
+
+    private long lastCheckMillis(Exchange exchange) {
+        long firstEventTimeoutMillis = exchange.firstEventDeadlineMillis - exchange.arrivalMillis;
+        return exchange.arrivalMillis + (long) (firstEventTimeoutMillis * MAX_WAIT_FRACTION);
+    }
+
+    private long swapMillis(Exchange exchange) {
+        return exchange.weights
+                .flatMap(key -> modelSpec.apply(key.service(), key.model()))
+                .map(spec -> spec.diskLoadTime().toMillis())
+                .orElse(0L);
     }
 
-    private static boolean isLoadedBy(ReplicaState replica, WeightKey key, long latestMillis) {
-        return replica.loading().equals(Optional.of(key.model())) && replica.expectedLoadEndMillis() <= latestMillis;
+    private Duration until(long millis) {
+        return Duration.ofMillis(Math.max(0, millis - clock.millis()));
+    }
+
+    /** Checks whether a replica serves the weights by a time on the monotonic clock. */
+    @FunctionalInterface
+    private interface ReplicaCheck {
+
+        boolean test(ReplicaState replica, WeightKey key, long latestMillis);
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PendingLoads.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PendingLoads.java
@@ -69,11 +69,9 @@
             pending = null;
         }
         if (replica.loading().isPresent()) {
-            return Optional.of(
-                    new LoadInProgress(replica.loading().get(), remainingMillis(replica.expectedLoadEndMillis(), now)));
+            return Optional.of(LoadInProgress.of(replica.loading().get(), replica.expectedLoadEndMillis(), now));
         }
-        return Optional.ofNullable(pending)
-                .map(p -> new LoadInProgress(p.model, remainingMillis(p.expectedEndMillis, now)));
+        return Optional.ofNullable(pending).map(p -> LoadInProgress.of(p.model, p.expectedEndMillis, now));
     }
 
     /**
@@ -107,18 +105,25 @@
         return true;
     }
 
-    /** Estimates the remaining time of a load; the longer it is overdue, the longer it is expected to continue. */
-    private static long remainingMillis(long expectedEndMillis, long now) {
-        return expectedEndMillis > now ? expectedEndMillis - now : MIN_OVERDUE_MILLIS + (now - expectedEndMillis);
-    }
-
     /**
      * A load that is in progress or planned.
      *
      * @param model the model, not null
-     * @param remainingMillis how much longer it is expected to take
+     * @param remainingMillis how much longer it is expected to take; the longer it is overdue, the longer
+     * @param overdue whether it should have ended long enough ago for the end to be known
      */
-    record LoadInProgress(ModelName model, long remainingMillis) {}
+    record LoadInProgress(ModelName model, long remainingMillis, boolean overdue) {
+
+        private static LoadInProgress of(ModelName model, long expectedEndMillis, long nowMillis) {
+            long remainingMillis = expectedEndMillis - nowMillis;
+            return remainingMillis > 0
+                    ? new LoadInProgress(model, remainingMillis, false)
+                    : new LoadInProgress(
+                            model,
+                            MIN_OVERDUE_MILLIS - remainingMillis,
+                            -remainingMillis > ReplicaState.MAX_LOAD_OVERDUE_MILLIS);
+        }
+    }
 
     /**
      * A planned load that has not completed yet. Times are on the monotonic clock.
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -201,6 +201,7 @@
                 running,
                 inProgress.map(PendingLoads.LoadInProgress::model),
                 inProgress.map(PendingLoads.LoadInProgress::remainingMillis).orElse(0L),
+                inProgress.map(PendingLoads.LoadInProgress::overdue).orElse(false),
                 controllable);
     }
 
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -41,35 +41,53 @@
     private final LoadExpectation expectation = new LoadExpectation(
             catalog,
             clock,
+            (delay, action) -> () -> {},
             (service, model) -> Optional.of(new ModelSpec(
                     model, 60, 0.5, Duration.ofSeconds(13), Duration.ofMillis(800), Duration.ofMillis(400))));
 
     // Guards against calls that are held for half of their time although nothing is loaded for them.
     @Test
     void callWithoutLoadIsRefusedWhenNoLoadFromDiskCouldMeetItsObjective() {
-        assertEquals(Duration.ofMillis(1_700), expectation.checkDelay(exchange(Duration.ofMillis(2_500))));
+        assertEquals(Duration.ofMillis(1_700), expectation.firstCheckDelay(exchange(Duration.ofMillis(2_500))));
     }
 
     @Test
     void callWithShortObjectiveWaitsUntilItsLoadCanHaveBeenPlanned() {
-        assertEquals(Duration.ofMillis(300), expectation.checkDelay(exchange(Duration.ofMillis(500))));
+        assertEquals(Duration.ofMillis(300), expectation.firstCheckDelay(exchange(Duration.ofMillis(500))));
     }
 
     @Test
     void callWaitsForLoadThatEndsBeforeItsDeadline() {
         startLoad(9_000);
 
-        assertTrue(expectation.mayWait(exchange(Duration.ofMillis(2_500))));
+        assertTrue(expectation.isLoadExpected(exchange(Duration.ofMillis(2_500))));
+        assertTrue(expectation.canBeServed(exchange(Duration.ofMillis(2_500))));
     }
 
     @Test
     void callDoesNotWaitForLoadThatEndsAfterItsDeadline() {
         startLoad(12_000);
 
-        assertFalse(expectation.mayWait(exchange(Duration.ofMillis(2_500))));
+        assertFalse(expectation.isLoadExpected(exchange(Duration.ofMillis(2_500))));
+        assertFalse(expectation.canBeServed(exchange(Duration.ofMillis(2_500))));
+    }
+
+    // Guards against calls that are refused while a replica only waits for running calls before it loads their model.
+    @Test
+    void callWaitsForReplicaThatCanLoadItsModelFromDisk() {
+        addReplica(Set.of(MODEL));
+
+        assertTrue(expectation.canBeServed(exchange(Duration.ofMillis(2_500))));
+        assertFalse(expectation.isLoadExpected(exchange(Duration.ofMillis(2_500))));
     }
 
     private void startLoad(long durationMillis) {
+        addReplica(Set.of());
+        ReplicaState replica = catalog.find(REPLICA).orElseThrow();
+        replica.onOrderState(replica.process(), 1, Map.of(), Optional.of(MODEL), nowMillis + durationMillis);
+    }
+
+    private void addReplica(Set<ModelName> onDisk) {
         catalog.put(new ListedReplica(
                 REPLICA,
                 SERVICE,
@@ -78,9 +96,7 @@
                 new SoftwareVersion("v1"),
                 64,
                 false,
-                new Holdings(1, 0, Map.of(), Set.of(), Set.of())));
-        ReplicaState replica = catalog.find(REPLICA).orElseThrow();
-        replica.onOrderState(replica.process(), 1, Map.of(), Optional.of(MODEL), nowMillis + durationMillis);
+                new Holdings(1, 0, Map.of(), Set.of(), onDisk)));
     }
 
     private Exchange exchange(Duration objective) {
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
@@ -50,7 +50,7 @@
         pendingLoads.add(replica, MODEL, 700);
         nowMillis += 200;
 
-        assertEquals(Optional.of(new PendingLoads.LoadInProgress(MODEL, 500)), pendingLoads.inProgress(replica));
+        assertEquals(Optional.of(new PendingLoads.LoadInProgress(MODEL, 500, false)), pendingLoads.inProgress(replica));
     }
 
     @Test
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -76,16 +76,13 @@
     }
 
     /**
-     * Returns the highest eviction cost in milliseconds that a load of a model justifies. The calls that wait now are
-     * served by a load that takes no longer than they can wait; the later ones are served by any load.
+     * Returns the highest eviction cost in milliseconds that a load of a model justifies: by the calls that wait now, which
+     * only a load from a local checkpoint serves in time, or by those that come until it could be loaded again.
      */
     double maxCostMillis(ModelName model, CheckpointTier tier, long loadMillis) {
-        int waitingCalls = demandFor(model).waitingCalls();
+        double waitingCalls = demandFor(model).waitingCalls() * (tier == CheckpointTier.REMOTE ? 1 : ABSENCE_SECONDS);
         double laterCalls = unservedCallsPerSecond(model) * absenceSeconds(loadMillis);
-        double calls = tier == CheckpointTier.REMOTE
-                ? Math.max(waitingCalls, laterCalls)
-                : waitingCalls * ABSENCE_SECONDS + laterCalls;
-        return calls * MISSED_CALL_MILLIS;
+        return Math.max(waitingCalls, laterCalls) * MISSED_CALL_MILLIS;
     }
 
     /** Returns the rate of the calls for a model that exceed what its replicas should have. */
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -46,8 +46,8 @@
      */
     private static final double SECOND_CHECKPOINT_RATE_FACTOR = 2;
 
-    /** The number of waiting calls from which a model may be loaded from the store despite a local checkpoint. */
-    private static final int STORE_LOAD_MIN_WAITING_CALLS = 3;
+    /** The number of waiting calls from which a model may be loaded from the store although another replica has it. */
+    private static final int MANY_WAITING_CALLS = 3;
 
     /** The total call rate below which the service counts as idle. */
     private static final double IDLE_CALLS_PER_SECOND = 0.5;
@@ -135,7 +135,9 @@
                     candidates.add(replica);
                 }
                 replica.pendingLoad().ifPresent(model -> {
-                    pendingModels.add(model);
+                    if (!replica.overdue()) {
+                        pendingModels.add(model);
+                    }
                     storeLoads += replica.state().nearestTier(model) == CheckpointTier.REMOTE ? 1 : 0;
                 });
             }
@@ -168,7 +170,8 @@
             int residentReplicas = evictionCosts.residentReplicas(called.model());
             return residentReplicas == 0
                     ? called.waitingCalls() > 0 || isCalledOften(called)
-                    : residentReplicas < evictionCosts.requiredReplicas(called.model());
+                    : called.waitingCalls() >= MANY_WAITING_CALLS
+                            && residentReplicas < evictionCosts.requiredReplicas(called.model());
         }
 
         /** Checks if another call is expected while the model is loaded from the weight store. */
@@ -301,10 +304,6 @@
             });
         }
 
-        private static boolean isForCalls(PlannedLoad.Reason reason) {
-            return reason == PlannedLoad.Reason.WAITING_CALLS || reason == PlannedLoad.Reason.BUSY_MODEL;
-        }
-
         private boolean mayLoadFromStore() {
             return newStoreLoads < limits.maxNewLoads() && storeLoads < limits.maxConcurrentLoads();
         }
@@ -317,13 +316,14 @@
                 return true;
             }
             if (reason == PlannedLoad.Reason.BUSY_MODEL) {
-                return evictionCosts.unservedCallsPerSecond(model) > 0 && !evictionCosts.hasCheckpointToLoad(model);
+                return evictionCosts.demandFor(model).waitingCalls() >= MANY_WAITING_CALLS
+                        && !evictionCosts.hasCheckpointToLoad(model);
             }
             boolean hasCheckpoint = replicas.stream()
                     .anyMatch(
                             other -> other.controllable() && other.state().nearestTier(model) != CheckpointTier.REMOTE);
             return !hasCheckpoint
-                    || evictionCosts.demandFor(model).waitingCalls() >= STORE_LOAD_MIN_WAITING_CALLS
+                    || evictionCosts.demandFor(model).waitingCalls() >= MANY_WAITING_CALLS
                     || evictionCosts.demandFor(model).slackMillis() < STORE_LOAD_MAX_SLACK_MILLIS;
         }
 
@@ -351,11 +351,11 @@
          */
         private Optional<LoadOption> findOption(ReplicaSnapshot replica, ModelName model, PlannedLoad.Reason reason) {
             long loadMillis = loadTime(replica.state(), model).toMillis();
-            double maxEvictionCostMillis = Math.max(
-                    isForCalls(reason)
-                            ? evictionCosts.maxCostMillis(model, replica.state().nearestTier(model), loadMillis)
-                            : 0,
-                    reason == PlannedLoad.Reason.WAITING_CALLS ? 0 : MAX_PROACTIVE_EVICTION_COST_MILLIS);
+            boolean isForCalls = reason == PlannedLoad.Reason.WAITING_CALLS
+                    || evictionCosts.demandFor(model).waitingCalls() >= MANY_WAITING_CALLS;
+            double maxEvictionCostMillis = isForCalls
+                    ? evictionCosts.maxCostMillis(model, replica.state().nearestTier(model), loadMillis)
+                    : MAX_PROACTIVE_EVICTION_COST_MILLIS;
             boolean keepsPlacedModels = reason != PlannedLoad.Reason.WAITING_CALLS && isIdle();
             double requiredMegabytes = weightsMegabytes(model);
             double freeMegabytes = freeMegabytes(replica);
@@ -377,7 +377,7 @@
                 freeMegabytes += weightsMegabytes(victim);
                 evictionCostMillis += evictionCosts.costMillis(replica, victim, loadMillis);
             }
-            boolean isBlocking = isForCalls(reason) && replica.state().nearestTier(model) == CheckpointTier.REMOTE;
+            boolean isBlocking = isForCalls && replica.state().nearestTier(model) == CheckpointTier.REMOTE;
             double blockedMillis =
                     isBlocking ? evictionCosts.blockedCheckpointsCostMillis(replica, model, loadMillis) : 0;
             if (freeMegabytes < requiredMegabytes
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/ReplicaSnapshot.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/ReplicaSnapshot.java
@@ -14,6 +14,7 @@
  * @param running the calls of all entries that the replica runs, by model; not null
  * @param pendingLoad the model that the replica is loading or that was planned for it, empty if there is none
  * @param availableInMillis the time until the replica can start another load, 0 if it can start one now
+ * @param overdue whether the load should have ended; how long it still takes is then not known
  * @param controllable whether loads may be planned for the replica: the holder of its order lease is known, and no
  *     planned load has recently failed to start there
  * @since 0.2.0
@@ -23,6 +24,7 @@
         Map<ModelName, RunningCalls> running,
         Optional<ModelName> pendingLoad,
         long availableInMillis,
+        boolean overdue,
         boolean controllable) {
 
     /** Checks the arguments and copies the map. */
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -31,7 +31,7 @@
     static final long MAX_LIST_LAG_MILLIS = 3_500;
 
     /** How long a load may be overdue without an update before its lease holder, which polls it, is considered gone. */
-    static final long MAX_LOAD_OVERDUE_MILLIS = 1_000;
+    public static final long MAX_LOAD_OVERDUE_MILLIS = 1_000;
 
     private final MonotonicClock clock;
     private final ReplicaAvailability availability;
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -99,7 +99,7 @@
     @Test
     void modelWithPendingLoadIsNotLoadedAgain() {
         ReplicaSnapshot loading = replica("r1", Set.of(BUSY), Set.of(RARE), Map.of());
-        replicas.set(0, new ReplicaSnapshot(loading.state(), Map.of(), Optional.of(RARE), 300, true));
+        replicas.set(0, new ReplicaSnapshot(loading.state(), Map.of(), Optional.of(RARE), 300, false, true));
         replica("r2", Set.of(BUSY), Set.of(RARE), Map.of());
         demand(RARE, 5, 0, 1);
 
@@ -110,7 +110,7 @@
     @Test
     void modelOnUncontrollableReplicaCountsAsResident() {
         ReplicaSnapshot uncontrollable = replica("r1", Set.of(RARE), Set.of(), Map.of());
-        replicas.set(0, new ReplicaSnapshot(uncontrollable.state(), Map.of(), Optional.empty(), 0, false));
+        replicas.set(0, new ReplicaSnapshot(uncontrollable.state(), Map.of(), Optional.empty(), 0, false, false));
         replica("r2", Set.of(BUSY), Set.of(RARE), Map.of());
         demand(RARE, 1, 0, 0.1);
 
@@ -165,7 +165,7 @@
     void checkpointOnUncontrollableReplicaDoesNotPreventStoreLoadForWaitingCalls() {
         replica("r1", Set.of(IDLE), Set.of(IDLE, RARE), Map.of());
         ReplicaSnapshot uncontrollable = replicas.remove(0);
-        replicas.add(new ReplicaSnapshot(uncontrollable.state(), Map.of(), Optional.empty(), 0, false));
+        replicas.add(new ReplicaSnapshot(uncontrollable.state(), Map.of(), Optional.empty(), 0, false, false));
         replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
         demand(RARE, 3, 0, 0.5);
 
@@ -179,7 +179,7 @@
     void manyWaitingCallsDoNotWaitForEmptyReplicaThatLoadsAnotherModelFromStore() {
         replica("r1", Set.of(), Set.of(), Map.of());
         ReplicaSnapshot empty = replicas.remove(0);
-        replicas.add(new ReplicaSnapshot(empty.state(), Map.of(), Optional.of(OTHER_BUSY), 5_000, true));
+        replicas.add(new ReplicaSnapshot(empty.state(), Map.of(), Optional.of(OTHER_BUSY), 5_000, false, true));
         replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
         demand(RARE, 8, 0, 2);
 
@@ -202,7 +202,7 @@
     void manyWaitingCallsDoNotWaitForReplicaWithCheckpointThatLoadsFromStore() {
         replica("r1", Set.of(), Set.of(RARE), Map.of());
         ReplicaSnapshot loading = replicas.remove(0);
-        replicas.add(new ReplicaSnapshot(loading.state(), Map.of(), Optional.of(OTHER_BUSY), 8_000, true));
+        replicas.add(new ReplicaSnapshot(loading.state(), Map.of(), Optional.of(OTHER_BUSY), 8_000, false, true));
         replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
         demand(RARE, 8, 0, 2);
 
@@ -381,6 +381,17 @@
         assertEquals("r2", load.replicaId().value());
     }
 
+    // Guards against calls that wait for a load without end, as its replica had dropped the checkpoint from its disk.
+    @Test
+    void modelWhoseLoadIsOverdueIsLoadedElsewhere() {
+        ReplicaSnapshot loading = replica("r1", Set.of(IDLE), Set.of(RARE), Map.of());
+        replicas.set(0, new ReplicaSnapshot(loading.state(), Map.of(), Optional.of(RARE), 2_000, true, true));
+        replica("r2", Set.of(IDLE), Set.of(RARE), Map.of());
+        demand(RARE, 1, 0, 0.2);
+
+        assertEquals("r2", plannedLoadOf(RARE).replicaId().value());
+    }
+
     // Guards against speculative loads that evict what the deployment has placed for the first calls.
     @Test
     void idleServiceKeepsPlacedModels() {
@@ -416,7 +427,7 @@
                 false,
                 new Holdings(1, 0, residentAdapters, Set.of(), onDisk));
         ReplicaSnapshot snapshot =
-                new ReplicaSnapshot(new ReplicaState(listed, () -> 0), running, Optional.empty(), 0, true);
+                new ReplicaSnapshot(new ReplicaState(listed, () -> 0), running, Optional.empty(), 0, false, true);
         replicas.add(snapshot);
         return snapshot;
     }
