Let the planning entry plan for a sixth of its time at most

Cause: a run began up to 33 times a second whatever a run cost, so that the planning entry had no time for its messages: it lost notices, was declared dead, and declared others dead. The interval now follows the duration of the run before.

slowRunsOfThePlannerLeaveTheProcessorToOtherWork fails before.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -59,6 +59,12 @@
      */
     private static final Duration MIN_PLANNING_INTERVAL = Duration.ofMillis(30);
 
+    /**
+     * The minimum time between two runs, as a multiple of the duration of a run. On a slow processor the entry would do
+     * nothing else otherwise, and would lose the messages on which it plans.
+     */
+    private static final int PLANNING_INTERVAL_FACTOR = 5;
+
     private final EntryId self;
     private final Mesh mesh;
     private final ReplicaCatalog catalog;
@@ -73,7 +79,7 @@
     private final PendingLoads pendingLoads;
     private Timers.Task periodicPlanning = () -> {};
     private boolean planningScheduled;
-    private long plannedAtMillis;
+    private long nextPlanningMillis;
 
     /**
      * Creates a service; {@link #start} starts it.
@@ -118,7 +124,7 @@
                 planSoon();
             }
         });
-        plannedAtMillis = clock.millis() - MIN_PLANNING_INTERVAL.toMillis();
+        nextPlanningMillis = clock.millis();
         planPeriodically();
     }
 
@@ -137,20 +143,27 @@
         if (planningScheduled) {
             return;
         }
-        long delayMillis = plannedAtMillis + MIN_PLANNING_INTERVAL.toMillis() - clock.millis();
+        long delayMillis = nextPlanningMillis - clock.millis();
         if (delayMillis <= 0) {
-            plan();
+            planNow();
             return;
         }
         planningScheduled = true;
         timers.schedule(Duration.ofMillis(delayMillis), () -> {
             planningScheduled = false;
-            plan();
+            planNow();
         });
     }
 
+    private void planNow() {
+        long startMillis = clock.millis();
+        plan();
+        long endMillis = clock.millis();
+        nextPlanningMillis = endMillis
+                + Math.max(MIN_PLANNING_INTERVAL.toMillis(), PLANNING_INTERVAL_FACTOR * (endMillis - startMillis));
+    }
+
     private void plan() {
-        plannedAtMillis = clock.millis();
         if (config.get().isEmpty()) {
             return;
         }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -41,6 +41,7 @@
 
     private final ManualTime time = new ManualTime();
     private final Vertx vertx = Vertx.vertx();
+    private Duration runDuration = Duration.ZERO;
     private final List<Long> planningMillis = new ArrayList<>();
     private final Mesh mesh = new Mesh(settings(), vertx, new PausableStore(), time, time, time, new Random(1));
     private final PlanningService planning = createPlanning();
@@ -64,6 +65,24 @@
         assertEquals(2, planningMillis.size());
     }
 
+    // Guards against an entry on a slow processor that only plans, and loses messages and its place among the members.
+    @Test
+    void slowRunsOfThePlannerLeaveTheProcessorToOtherWork() {
+        planning.start();
+        runDuration = Duration.ofMillis(20);
+        long startMillis = time.millis();
+        int runsBefore = planningMillis.size();
+        for (int i = 0; i < 300; i++) {
+            mesh.send(SELF, reportOfWaitingCall());
+            time.advance(Duration.ofMillis(2));
+        }
+
+        long planningTimeMillis = (planningMillis.size() - runsBefore) * runDuration.toMillis();
+        assertTrue(
+                planningTimeMillis <= (time.millis() - startMillis) / 4,
+                planningTimeMillis + " ms were spent planning");
+    }
+
     @Test
     void reportAfterAPauseIsPlannedAtOnce() {
         planning.start();
@@ -101,6 +120,9 @@
     /** The planner asks for the configuration first in each run. */
     private Optional<ServingConfig> config() {
         planningMillis.add(time.millis());
+        if (!runDuration.isZero()) {
+            time.advance(runDuration);
+        }
         return Optional.empty();
     }
 
