Log the state of a replica at the holder of its order lease only

The holder has logged each of them, and a restart, a registration and a removal are logged everywhere as before.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -253,21 +253,19 @@
     }
 
     /**
-     * Does not log changes of adapters alone if the update comes from elsewhere: at every entry, they would be most of
-     * the log, and the holder of the order lease has logged them.
+     * Does not log the changes if the update comes from elsewhere: at every entry, they would be most of the log, and the
+     * holder of the order lease has logged them.
      */
     private boolean updateFromElsewhere(ReplicaState replica, String source, Runnable change) {
         return update(replica, source, change, false);
     }
 
-    private boolean update(ReplicaState replica, String source, Runnable change, boolean logsAdapters) {
+    private boolean update(ReplicaState replica, String source, Runnable change, boolean logs) {
         Map<ModelName, Set<String>> before = replica.residents();
         Optional<ModelName> loadingBefore = replica.loading();
         change.run();
         boolean changed = !before.equals(replica.residents()) || !loadingBefore.equals(replica.loading());
-        boolean modelsChanged =
-                !before.keySet().equals(replica.residents().keySet()) || !loadingBefore.equals(replica.loading());
-        if (modelsChanged || changed && logsAdapters) {
+        if (changed && logs) {
             LogEvent.REPLICA_STATE_UPDATED.log(
                     replica.id(),
                     replica.residents(),
