Prefer local checkpoints again, and do not repeat a load that a slow store delays

modelWhoseLoadFromStoreIsOverdueIsNotLoadedAgain and modelWithLocalCheckpointIsLoadedBeforeModelsFromStore fail before.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -60,7 +60,12 @@
         for (ReplicaSnapshot replica : replicas) {
             replica.state().residents().keySet().forEach(model -> residentReplicas.merge(model, 1, Integer::sum));
             if (replica.isAvailable()) {
-                replica.state().localCheckpoints().forEach(model -> availableCheckpoints.merge(model, 1, Integer::sum));
+                for (ModelName model : replica.state().localCheckpoints()) {
+                    availableCheckpoints.merge(model, 1, Integer::sum);
+                    if (!replica.state().holds(model, "")) {
+                        loadableCheckpoints.add(model);
+                    }
+                }
             }
         }
         this.meanCallsPerSecond = demand.byModel().values().stream()
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -135,10 +135,12 @@
                     candidates.add(replica);
                 }
                 replica.pendingLoad().ifPresent(model -> {
-                    if (!replica.overdue()) {
+                    boolean isFromStore = replica.state().nearestTier(model) == CheckpointTier.REMOTE;
+                    // An overdue load from a local checkpoint loads from the store, as the checkpoint was dropped.
+                    if (isFromStore || !replica.overdue()) {
                         pendingModels.add(model);
                     }
-                    storeLoads += replica.state().nearestTier(model) == CheckpointTier.REMOTE ? 1 : 0;
+                    storeLoads += isFromStore || replica.overdue() ? 1 : 0;
                 });
             }
         }
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -392,6 +392,28 @@
         assertEquals("r2", plannedLoadOf(RARE).replicaId().value());
     }
 
+    // Guards against a second load from a store that is slow because of the first one.
+    @Test
+    void modelWhoseLoadFromStoreIsOverdueIsNotLoadedAgain() {
+        ReplicaSnapshot loading = replica("r1", Set.of(IDLE), Set.of(IDLE), Map.of());
+        replicas.set(0, new ReplicaSnapshot(loading.state(), Map.of(), Optional.of(RARE), 2_000, true, true));
+        replica("r2", Set.of(IDLE), Set.of(IDLE), Map.of());
+        demand(RARE, 1, 0, 0.2);
+
+        assertFalse(planner.plan(replicas, new ServiceDemand(demands, 5), UNLIMITED).stream()
+                .anyMatch(load -> load.model().equals(RARE)));
+    }
+
+    // Guards against a busy model whose calls wait for the store although a replica has its checkpoint.
+    @Test
+    void modelWithLocalCheckpointIsLoadedBeforeModelsFromStore() {
+        replica("r1", Set.of(), Set.of(RARE), Map.of());
+        demand(RARE, 1, 0, 0.1);
+        demand(OTHER_BUSY, 8, 0, 2);
+
+        assertEquals("r1", plannedLoadOf(RARE).replicaId().value());
+    }
+
     // Guards against speculative loads that evict what the deployment has placed for the first calls.
     @Test
     void idleServiceKeepsPlacedModels() {
