--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -158,6 +158,7 @@
      * Returns what a load costs the calls of the models that no other replica can load from a local checkpoint meanwhile.
      *
      * @param replica the replica
+     * @param loaded the model that is loaded
      * @param loadMillis how long the load takes
      * @return the cost in milliseconds of callers' waiting
      */
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -21,10 +21,10 @@
 /**
  * Decides which models to load on which replicas, from the state of the replicas and the demand of all entries.
  *
- * <p>Models with waiting calls come first, most urgent first; each goes to the replica where it is available soonest at
- * the lowest eviction cost. Then busy models get additional replicas, and unused memory is filled. The remaining
- * capacity of the weight store is used to copy checkpoints to replicas: those that no replica has, so that the first
- * call finds one on disk, and those of busy models that only one replica has.
+ * <p>Models that are called but resident on too few replicas come first: those that a replica has a local checkpoint of,
+ * most urgent first, then those that need the weight store. Each goes to the replica where it is available soonest at the
+ * lowest cost to the calls of other models. Then busy models get additional replicas, checkpoints that no replica has, or
+ * only one has of a busy model, are fetched, and unused memory is filled.
  *
  * @since 0.2.0
  */
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/ServiceDemand.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/ServiceDemand.java
@@ -10,7 +10,7 @@
  *
  * @param byModel the demand by model, not null; models without calls may be missing
  * @param observedSeconds the time that the recent calls in it cover, 0 before the first call
- * @since 0.3.0
+ * @since 0.2.0
  */
 public record ServiceDemand(Map<ModelName, AggregateDemand> byModel, double observedSeconds) {
 
