Fetch missing checkpoints only when all replicas are listed

missingCheckpointsAreNotFetchedWhileReplicasAreStillBeingListed: the planner could not be told before.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -47,6 +47,9 @@
     /** The times at which a replica of each version was last known to be listed. */
     private final Map<ServiceName, Map<SoftwareVersion, Long>> versionsSeenMillis = new HashMap<>();
 
+    /** When a replica was last added. */
+    private long addedMillis;
+
     private BooleanSupplier listCurrent = () -> true;
     private Predicate<UpstreamId> leaseHeldByThisEntry = id -> false;
 
@@ -108,6 +111,15 @@
         return listCurrent.getAsBoolean();
     }
 
+    /**
+     * Checks whether all replicas that run are expected to be listed.
+     *
+     * @return false until no replica has been added for the maximum age of a registration
+     */
+    public boolean isListSettled() {
+        return clock.millis() - addedMillis >= ReplicaState.MAX_LIST_LAG_MILLIS;
+    }
+
     /**
      * Returns the process that a replica runs now, as far as it is known.
      *
@@ -149,6 +161,7 @@
         boolean changed = true;
         if (known == null) {
             ReplicaState added = new ReplicaState(listed, clock);
+            addedMillis = clock.millis();
             replicas.put(listed.id(), added);
             if (added.availability().isLeaving()) {
                 LogEvent.REPLICA_DRAINING.log(listed.id(), listed.service(), "registration");
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -186,7 +186,8 @@
         StoreLoadBudget storeLoads = storeLoadBudgets.computeIfAbsent(service, name -> new StoreLoadBudget(clock));
         StoreLoadLimits limits = new StoreLoadLimits(
                 storeLoads.remaining(engine.maxStoreLoadsPerSecond()),
-                storeConcurrency(service).limit());
+                storeConcurrency(service).limit(),
+                catalog.isListSettled());
         List<PlannedLoad> plannedLoads = new PlacementPlanner(engine).plan(snapshots, demand, limits);
         plannedLoads.stream()
                 .filter(load -> load.tier() == CheckpointTier.REMOTE)
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -95,7 +95,9 @@
             pass.scaleOutBusyModels();
         }
         pass.replicateBusyCheckpoints();
-        pass.fetchMissingCheckpoints();
+        if (limits.maySpeculate()) {
+            pass.fetchMissingCheckpoints();
+        }
         if (!pass.hasUnplannedWaitingCalls()) {
             pass.fillFreeMemory();
         }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -28,7 +28,7 @@
 public final class ReplicaState {
 
     /** The maximum age of a registration: a heartbeat interval, its publication and the interval of list polls. */
-    static final long MAX_LIST_LAG_MILLIS = 3_500;
+    public static final long MAX_LIST_LAG_MILLIS = 3_500;
 
     /** How long a load may be overdue without an update before its lease holder, which polls it, is considered gone. */
     public static final long MAX_LOAD_OVERDUE_MILLIS = 1_000;
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -39,7 +39,7 @@
     private static final ModelName IDLE = new ModelName("idle");
     private static final ModelName LARGE = new ModelName("large");
 
-    private static final StoreLoadLimits UNLIMITED = new StoreLoadLimits(Integer.MAX_VALUE, Integer.MAX_VALUE);
+    private static final StoreLoadLimits UNLIMITED = new StoreLoadLimits(Integer.MAX_VALUE, Integer.MAX_VALUE, true);
 
     private final Map<ModelName, AggregateDemand> demands = new HashMap<>();
     private final List<ReplicaSnapshot> replicas = new ArrayList<>();
@@ -239,7 +239,7 @@
         }
 
         List<PlannedLoad> plannedLoads =
-                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(9, 4));
+                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(9, 4, true));
 
         assertEquals(2, plannedLoads.size(), "the other half of the limit is for calls");
         assertTrue(plannedLoads.stream().allMatch(load -> load.reason() == PlannedLoad.Reason.NO_COPY));
@@ -283,9 +283,9 @@
 
         assertEquals(
                 2,
-                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(2, 9))
+                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(2, 9, true))
                         .size());
-        assertEquals(List.of(), planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(0, 9)));
+        assertEquals(List.of(), planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(0, 9, true)));
     }
 
     @Test
@@ -295,7 +295,7 @@
 
         assertEquals(
                 1,
-                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(0, 9))
+                planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(0, 9, true))
                         .size());
     }
 
@@ -347,7 +347,7 @@
         List.of(RARE, OTHER_BUSY, IDLE, BUSY).forEach(model -> demand(model, 1, 0, 0.2));
 
         List<PlannedLoad> plannedLoads =
-                planner.plan(replicas, new ServiceDemand(demands, 5), new StoreLoadLimits(9, 2));
+                planner.plan(replicas, new ServiceDemand(demands, 5), new StoreLoadLimits(9, 2, true));
 
         assertEquals(2, plannedLoads.size());
     }
@@ -414,6 +414,15 @@
         assertEquals("r1", plannedLoadOf(RARE).replicaId().value());
     }
 
+    // Guards against loads from the store of models that a replica has which is listed a moment later.
+    @Test
+    void missingCheckpointsAreNotFetchedWhileReplicasAreStillBeingListed() {
+        replica("r1", Set.of(BUSY), Set.of(), Map.of());
+
+        assertEquals(
+                List.of(), planner.plan(replicas, new ServiceDemand(demands, 0), new StoreLoadLimits(9, 9, false)));
+    }
+
     // Guards against speculative loads that evict what the deployment has placed for the first calls.
     @Test
     void idleServiceKeepsPlacedModels() {
