Price swaps from local checkpoints by the calls of the last seconds only

Cause: the expected rate with a memory of 20 s, meant for loads of many seconds, also priced evictions for swaps of less than a second, whose victim is back as fast.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -1,5 +1,6 @@
 package org.tarragonring.policy.placement;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -85,7 +86,10 @@
      * only a load from a local checkpoint serves in time, or by those that come until it could be loaded again.
      */
     double maxCostMillis(ModelName model, CheckpointTier tier, long loadMillis) {
-        double waitingCalls = demandFor(model).waitingCalls() * (tier == CheckpointTier.REMOTE ? 1 : ABSENCE_SECONDS);
+        int waitingCalls = demandFor(model).waitingCalls();
+        if (tier != CheckpointTier.REMOTE && waitingCalls > 0) {
+            return waitingCalls * ABSENCE_SECONDS * MISSED_CALL_MILLIS;
+        }
         double laterCalls = unservedCallsPerSecond(model) * absenceSeconds(loadMillis);
         return Math.max(waitingCalls, laterCalls) * MISSED_CALL_MILLIS;
     }
@@ -138,18 +142,20 @@
     }
 
     /**
-     * Returns what a load costs the calls of the models that the replica holds. While it loads, a replica loads no
-     * adapter either, so calls that need one wait until the end. Models that the load evicts count, too: their calls lose
-     * more than an adapter.
+     * Returns what a load costs the calls of the models that a replica holds. While it loads, a replica loads no adapter
+     * either, so calls that need one wait until the end.
      *
      * @param replica the replica
+     * @param excluded the models whose calls do not count
      * @param loadMillis how long the load takes
      * @return the cost in milliseconds of callers' waiting
      */
-    double blockingCostMillis(ReplicaSnapshot replica, long loadMillis) {
+    double blockingCostMillis(ReplicaSnapshot replica, Collection<ModelName> excluded, long loadMillis) {
         double callsPerSecond = 0;
         for (ModelName resident : replica.state().residents().keySet()) {
-            callsPerSecond += demandFor(resident).callsPerSecond() / Math.max(1, residentReplicas(resident));
+            if (!excluded.contains(resident)) {
+                callsPerSecond += demandFor(resident).callsPerSecond() / Math.max(1, residentReplicas(resident));
+            }
         }
         return BLOCKED_WEIGHT * loadMillis + delayCostMillis(callsPerSecond, loadMillis);
     }
@@ -179,34 +185,51 @@
     }
 
     /**
-     * Returns the cost in milliseconds of evicting a model from a replica for a load.
+     * Returns the cost in milliseconds of evicting a model from a replica for a load from a local checkpoint, after which
+     * the evicted model can be loaded again at once.
+     */
+    double swapCostMillis(ReplicaSnapshot replica, ModelName model) {
+        double callsPerSecond = demandFor(model).callsPerSecond();
+        return isLastWithWaitingCalls(model)
+                ? PROHIBITIVE_COST_MILLIS
+                : evictionCostMillis(replica, model, callsPerSecond, ABSENCE_SECONDS);
+    }
+
+    /**
+     * Returns the cost in milliseconds of evicting a model from a replica for a load from the weight store.
      *
      * @param replica the replica
      * @param model the model to evict
      * @param loadMillis how long the load takes, in which the replica cannot load the evicted model again
      */
-    double costMillis(ReplicaSnapshot replica, ModelName model, long loadMillis) {
-        double costMillis = BLOCKED_WEIGHT * replica.unloadWaitMillis(model);
+    double storeLoadCostMillis(ReplicaSnapshot replica, ModelName model, long loadMillis) {
+        if (isLastWithWaitingCalls(model)) {
+            return PROHIBITIVE_COST_MILLIS;
+        }
+        int here = replica.isAvailable() && replica.state().nearestTier(model) != CheckpointTier.REMOTE ? 1 : 0;
+        boolean isElsewhere = availableCheckpoints.getOrDefault(model, 0) > here;
+        double absenceSeconds = isElsewhere ? ABSENCE_SECONDS : absenceSeconds(loadMillis);
         double callsPerSecond = expectedCallsPerSecond(model);
+        int required = requiredReplicas(model);
+        int left = residentReplicas(model) - 1;
+        double missedShare = left > 0 && left < required ? (required - left) / (double) required : 0;
+        return evictionCostMillis(replica, model, callsPerSecond, absenceSeconds)
+                + missedShare * callsPerSecond * absenceSeconds(loadMillis) * MISSED_CALL_MILLIS;
+    }
+
+    private boolean isLastWithWaitingCalls(ModelName model) {
+        return residentReplicas(model) <= 1 && demandFor(model).waitingCalls() > 0;
+    }
+
+    private double evictionCostMillis(
+            ReplicaSnapshot replica, ModelName model, double callsPerSecond, double absenceSeconds) {
+        double costMillis = BLOCKED_WEIGHT * replica.unloadWaitMillis(model);
         int left = residentReplicas(model) - 1;
         if (left <= 0) {
-            if (demandFor(model).waitingCalls() > 0) {
-                return PROHIBITIVE_COST_MILLIS;
-            }
-            int here = replica.isAvailable() && replica.state().nearestTier(model) != CheckpointTier.REMOTE ? 1 : 0;
-            boolean isElsewhere = availableCheckpoints.getOrDefault(model, 0) > here;
-            return costMillis
-                    + callsPerSecond
-                            * (isElsewhere ? ABSENCE_SECONDS : absenceSeconds(loadMillis))
-                            * MISSED_CALL_MILLIS;
+            return costMillis + callsPerSecond * absenceSeconds * MISSED_CALL_MILLIS;
         }
-        int required = requiredReplicas(model);
-        double missedShare = left < required ? (required - left) / (double) required : 0;
         double contentionFactor = left < targetReplicas(model) ? 2 : 1;
-        return costMillis
-                + callsPerSecond
-                        * (contentionFactor * CONTENTION_COST_MILLIS / left
-                                + missedShare * absenceSeconds(loadMillis) * MISSED_CALL_MILLIS);
+        return costMillis + contentionFactor * callsPerSecond * CONTENTION_COST_MILLIS / left;
     }
 
     private static double absenceSeconds(long loadMillis) {
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.policy.config.EngineSpec;
@@ -355,41 +356,44 @@
          */
         private Optional<LoadOption> findOption(ReplicaSnapshot replica, ModelName model, PlannedLoad.Reason reason) {
             long loadMillis = loadTime(replica.state(), model).toMillis();
+            CheckpointTier tier = replica.state().nearestTier(model);
+            boolean isFromStore = tier == CheckpointTier.REMOTE;
             boolean isForCalls = reason == PlannedLoad.Reason.WAITING_CALLS
                     || evictionCosts.demandFor(model).waitingCalls() >= MANY_WAITING_CALLS;
             double maxEvictionCostMillis = isForCalls
-                    ? evictionCosts.maxCostMillis(model, replica.state().nearestTier(model), loadMillis)
+                    ? evictionCosts.maxCostMillis(model, tier, loadMillis)
                     : MAX_PROACTIVE_EVICTION_COST_MILLIS;
+            ToDoubleFunction<ModelName> victimCost = victim -> isFromStore
+                    ? evictionCosts.storeLoadCostMillis(replica, victim, loadMillis)
+                    : evictionCosts.swapCostMillis(replica, victim);
             boolean keepsPlacedModels = reason != PlannedLoad.Reason.WAITING_CALLS && isIdle();
             double requiredMegabytes = weightsMegabytes(model);
             double freeMegabytes = freeMegabytes(replica);
             double evictionCostMillis = 0;
             List<ModelName> evictions = new ArrayList<>();
             List<ModelName> cheapestFirst = replica.state().residents().keySet().stream()
-                    .sorted(Comparator.comparingDouble(
-                                    (ModelName candidate) -> evictionCosts.costMillis(replica, candidate, loadMillis))
-                            .thenComparing(ModelName::value))
+                    .filter(victim -> !keepsPlacedModels || !replica.state().isPlaced(victim))
+                    .sorted(Comparator.comparingDouble(victimCost).thenComparing(ModelName::value))
                     .toList();
             for (ModelName victim : cheapestFirst) {
                 if (freeMegabytes >= requiredMegabytes) {
                     break;
                 }
-                if (keepsPlacedModels && replica.state().isPlaced(victim)) {
-                    continue;
-                }
                 evictions.add(victim);
                 freeMegabytes += weightsMegabytes(victim);
-                evictionCostMillis += evictionCosts.costMillis(replica, victim, loadMillis);
+                evictionCostMillis += victimCost.applyAsDouble(victim);
             }
-            boolean isBlocking = isForCalls && replica.state().nearestTier(model) == CheckpointTier.REMOTE;
-            double blockedMillis =
-                    isBlocking ? evictionCosts.blockedCheckpointsCostMillis(replica, model, loadMillis) : 0;
+            double blockedMillis = isFromStore && isForCalls
+                    ? evictionCosts.blockedCheckpointsCostMillis(replica, model, loadMillis)
+                    : 0;
             if (freeMegabytes < requiredMegabytes
                     || !evictions.isEmpty() && evictionCostMillis >= maxEvictionCostMillis
-                    || blockedMillis + evictionCostMillis > maxEvictionCostMillis && isBlocking) {
+                    || blockedMillis > 0 && blockedMillis + evictionCostMillis > maxEvictionCostMillis) {
                 return Optional.empty();
             }
-            evictionCostMillis += blockedMillis + evictionCosts.blockingCostMillis(replica, loadMillis);
+            // Evicting a model from a replica that then loads from the store does not spare its calls the wait.
+            evictionCostMillis += blockedMillis
+                    + evictionCosts.blockingCostMillis(replica, isFromStore ? Set.of() : evictions, loadMillis);
             long loadDelayMillis = replica.availableInMillis() + loadMillis;
             double costMillis =
                     loadDelayMillis * Math.max(1, evictionCosts.demandFor(model).waitingCalls())
