--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -173,22 +173,21 @@
                 .services()
                 .values()
                 .forEach(service -> service.engine().ifPresent(engine -> {
-                    List<ReplicaSnapshot> snapshots = snapshots(service.name());
-                    storeConcurrency(service.name()).observe(snapshots, engine);
+                    storeConcurrency(service.name()).observe(catalog.serving(service.name()), engine);
                     if (isPlanner) {
-                        plan(service.name(), engine, snapshots);
+                        plan(service.name(), engine);
                     }
                 }));
     }
 
-    private void plan(ServiceName service, EngineSpec engine, List<ReplicaSnapshot> snapshots) {
+    private void plan(ServiceName service, EngineSpec engine) {
         ServiceDemand demand = demandAggregator.demand(service);
         StoreLoadBudget storeLoads = storeLoadBudgets.computeIfAbsent(service, name -> new StoreLoadBudget(clock));
         StoreLoadLimits limits = new StoreLoadLimits(
                 storeLoads.remaining(engine.maxStoreLoadsPerSecond()),
                 storeConcurrency(service).limit(),
                 catalog.isListSettled());
-        List<PlannedLoad> plannedLoads = new PlacementPlanner(engine).plan(snapshots, demand, limits);
+        List<PlannedLoad> plannedLoads = new PlacementPlanner(engine).plan(snapshots(service), demand, limits);
         plannedLoads.stream()
                 .filter(load -> load.tier() == CheckpointTier.REMOTE)
                 .forEach(load -> storeLoads.recordLoad());
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/StoreConcurrency.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/StoreConcurrency.java
@@ -10,6 +10,7 @@
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ModelSpec;
+import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.upstream.CheckpointTier;
 
@@ -55,12 +56,12 @@
      * @param replicas the replicas of the service, not null
      * @param engine the models of the service, not null
      */
-    public void observe(Collection<ReplicaSnapshot> replicas, EngineSpec engine) {
-        Map<UpstreamId, ReplicaSnapshot> byId = new HashMap<>();
-        replicas.forEach(replica -> byId.put(replica.state().id(), replica));
+    public void observe(Collection<ReplicaState> replicas, EngineSpec engine) {
+        Map<UpstreamId, ReplicaState> byId = new HashMap<>();
+        replicas.forEach(replica -> byId.put(replica.id(), replica));
         loads.entrySet().removeIf(entry -> hasEnded(entry.getValue(), byId.get(entry.getKey())));
-        for (ReplicaSnapshot replica : replicas) {
-            replica.state().loading().ifPresent(model -> observeLoad(replica, model, engine));
+        for (ReplicaState replica : replicas) {
+            replica.loading().ifPresent(model -> observeLoad(replica, model, engine));
         }
     }
 
@@ -73,28 +74,27 @@
         return limit;
     }
 
-    private void observeLoad(ReplicaSnapshot replica, ModelName model, EngineSpec engine) {
-        Load known = loads.get(replica.state().id());
+    private void observeLoad(ReplicaState replica, ModelName model, EngineSpec engine) {
+        Load known = loads.get(replica.id());
         ModelSpec spec = engine.models().get(model);
         if (known != null) {
             if (known.isSlow(clock.millis())) {
                 onSlowLoad(known);
             }
-        } else if (spec != null && replica.state().nearestTier(model) == CheckpointTier.REMOTE) {
+        } else if (spec != null && replica.nearestTier(model) == CheckpointTier.REMOTE) {
             loads.put(
-                    replica.state().id(),
+                    replica.id(),
                     new Load(model, clock.millis(), spec.storeLoadTime().toMillis(), loads.size() + 1));
         }
     }
 
     /** Checks if a load is no longer in progress, and learns from its duration if it was observed from its start. */
-    private boolean hasEnded(Load load, ReplicaSnapshot replica) {
-        if (replica != null && replica.state().loading().equals(Optional.of(load.model))) {
+    private boolean hasEnded(Load load, ReplicaState replica) {
+        if (replica != null && replica.loading().equals(Optional.of(load.model))) {
             return false;
         }
-        boolean isComplete = replica != null
-                && replica.state().holds(load.model, "")
-                && load.stretch(clock.millis()) >= 1 - TOLERANCE_SHARE;
+        boolean isComplete =
+                replica != null && replica.holds(load.model, "") && load.stretch(clock.millis()) >= 1 - TOLERANCE_SHARE;
         if (isComplete && !load.isSlow(clock.millis())) {
             limit += slowedDown && load.concurrency < limit ? 0 : 1;
         }
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/StoreConcurrencyTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/StoreConcurrencyTest.java
@@ -110,10 +110,7 @@
     }
 
     private void observe() {
-        List<ReplicaSnapshot> snapshots = replicas.stream()
-                .map(r -> new ReplicaSnapshot(r, Map.of(), r.loading(), 0, false, true))
-                .toList();
-        concurrency.observe(snapshots, engine());
+        concurrency.observe(replicas, engine());
     }
 
     private void addReplicas() {
