Let the test of refused calls fail without what it guards, and test the list and the recent calls

modelWhoseCallsWereRefusedIsLoaded passed on code that ignores refused calls, since the model was fetched as a missing checkpoint; now it allows no such load, and fails on that code. The memory of recent calls and the settled list had no test of their own.

--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/DemandAggregatorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/DemandAggregatorTest.java
@@ -75,6 +75,21 @@
         assertTrue(aggregator.demand(SERVICE).of(MODEL).callsPerSecond() < 0.3);
     }
 
+    // Guards against a rare model that is taken for one without calls a few seconds after each of them.
+    @Test
+    void callsOfTheLastTwentySecondsAreRemembered() {
+        aggregator.addReport(
+                FIRST, List.of(new WeightDemand("assistant", MODEL, Optional.empty(), 0, 0, 10, 0)), List.of());
+        assertEquals(0, aggregator.demand(SERVICE).observedSeconds(), 0.01);
+        nowMillis += 10_000;
+
+        double recentCalls = aggregator.demand(SERVICE).of(MODEL).recentCalls();
+        double observedSeconds = aggregator.demand(SERVICE).observedSeconds();
+
+        assertTrue(recentCalls > 5 && recentCalls < 10, recentCalls + " calls");
+        assertTrue(observedSeconds > 5 && observedSeconds < 10, observedSeconds + " s");
+    }
+
     @Test
     void runningCallsAreSummedByReplicaWithTheLongestRemainingTime() {
         aggregator.addReport(FIRST, List.of(running(2, 500)), List.of());
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlacementPlannerTest.java
@@ -437,7 +437,11 @@
         replica("r1", Set.of(IDLE), Set.of(IDLE), Map.of());
         demand(RARE, 0, 0, 0.3);
 
-        assertEquals("r1", plannedLoadOf(RARE).replicaId().value());
+        List<PlannedLoad> plannedLoads =
+                planner.plan(replicas, new ServiceDemand(demands, 5), new StoreLoadLimits(9, 9, false));
+
+        assertEquals(
+                List.of(RARE), plannedLoads.stream().map(PlannedLoad::model).toList());
     }
 
     private void demand(ModelName model, int waiting, int running, double callsPerSecond) {
