--- a/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/GatewayMessageCodec.java
@@ -12,6 +12,7 @@
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.StreamId;
+import org.tarragonring.ids.TeamName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.peer.wire.WireAuthorityNotice;
 import org.tarragonring.peer.wire.WireBegunStream;
@@ -20,16 +21,26 @@
 import org.tarragonring.peer.wire.WireFailedRun;
 import org.tarragonring.peer.wire.WireFailureReport;
 import org.tarragonring.peer.wire.WireLoadRequest;
+import org.tarragonring.peer.wire.WireQuotaGrant;
+import org.tarragonring.peer.wire.WireQuotaRequest;
 import org.tarragonring.peer.wire.WireReplicaLeaving;
+import org.tarragonring.peer.wire.WireReplicaLoad;
+import org.tarragonring.peer.wire.WireReplicaLoadDigest;
 import org.tarragonring.peer.wire.WireReplicaNotice;
+import org.tarragonring.peer.wire.WireReplicaTiming;
 import org.tarragonring.peer.wire.WireResident;
 import org.tarragonring.peer.wire.WireStreamReport;
+import org.tarragonring.peer.wire.WireTeamExcess;
+import org.tarragonring.peer.wire.WireTeamShares;
+import org.tarragonring.peer.wire.WireTeamUse;
+import org.tarragonring.peer.wire.WireTeamUseReport;
 import org.tarragonring.peer.wire.WireWeightDemand;
 import org.tarragonring.routing.Suspect;
 
 /**
  * Converts the messages of the gateway: demand reports, load requests, replica notices, authority notices, failure
- * reports, stream reports and notices of replicas that are about to shut down.
+ * reports, stream reports, notices of replicas that are about to shut down, and the messages by which entries share
+ * quotas, the room for calls and the load of replicas.
  */
 final class GatewayMessageCodec {
 
@@ -37,13 +48,7 @@
 
     static WireBody toWire(PeerMessage message) {
         if (message instanceof PeerMessage.DemandReport report) {
-            WireDemandReport wire = new WireDemandReport(
-                    report.demands().stream().map(GatewayMessageCodec::toWire).toList());
-            if (!report.unreachable().isEmpty()) {
-                wire.setUnreachable(
-                        report.unreachable().stream().map(UpstreamId::value).toList());
-            }
-            return WireBody.demandReport(wire);
+            return WireBody.demandReport(toWire(report));
         }
         if (message instanceof PeerMessage.LoadRequest request) {
             return WireBody.loadRequest(new WireLoadRequest(
@@ -88,6 +93,36 @@
                             .toList(),
                     report.asked().stream().map(StreamId::value).toList()));
         }
+        return sharedLoadToWire(message);
+    }
+
+    /** Converts the messages by which entries share quotas, the room for calls and the load of replicas. */
+    private static WireBody sharedLoadToWire(PeerMessage message) {
+        if (message instanceof PeerMessage.ReplicaLoadDigest digest) {
+            return WireBody.replicaLoadDigest(new WireReplicaLoadDigest(digest.loads().stream()
+                    .map(load -> new WireReplicaLoad(load.replicaHash(), load.inFlight(), load.speedPercent()))
+                    .toList()));
+        }
+        if (message instanceof PeerMessage.QuotaRequest request) {
+            return WireBody.quotaRequest(new WireQuotaRequest(
+                    request.team().value(), request.sequence(), request.wantedTokens(), request.returnedTokens()));
+        }
+        if (message instanceof PeerMessage.QuotaGrant grant) {
+            return WireBody.quotaGrant(new WireQuotaGrant(
+                    grant.team().value(), grant.sequence(), grant.grantedTokens(), grant.retryAfterMillis()));
+        }
+        if (message instanceof PeerMessage.TeamUseReport report) {
+            return WireBody.teamUseReport(new WireTeamUseReport(report.uses().stream()
+                    .map(use -> new WireTeamUse(use.team().value(), use.admittedTokens(), use.refusedCalls()))
+                    .toList()));
+        }
+        if (message instanceof PeerMessage.TeamShares shares) {
+            return WireBody.teamShares(new WireTeamShares(
+                    shares.shortage(),
+                    shares.aboveShare().entrySet().stream()
+                            .map(share -> new WireTeamExcess(share.getKey().value(), share.getValue()))
+                            .toList()));
+        }
         throw new IllegalArgumentException("no wire format is defined for message %s".formatted(message));
     }
 
@@ -113,11 +148,53 @@
                         body.getAuthorityNotice().isWithoutStore());
             case FAILURE_REPORT -> fromWire(body.getFailureReport());
             case STREAM_REPORT -> fromWire(body.getStreamReport());
+            case REPLICA_LOAD_DIGEST ->
+                new PeerMessage.ReplicaLoadDigest(body.getReplicaLoadDigest().getLoads().stream()
+                        .map(load -> new PeerMessage.ReplicaLoad(
+                                load.getReplicaHash(), load.getInFlight(), load.getSpeedPercent()))
+                        .toList());
+            case QUOTA_REQUEST -> {
+                WireQuotaRequest request = body.getQuotaRequest();
+                yield new PeerMessage.QuotaRequest(
+                        new TeamName(request.getTeam()),
+                        request.getSequence(),
+                        request.getWantedTokens(),
+                        request.getReturnedTokens());
+            }
+            case QUOTA_GRANT -> {
+                WireQuotaGrant grant = body.getQuotaGrant();
+                yield new PeerMessage.QuotaGrant(
+                        new TeamName(grant.getTeam()),
+                        grant.getSequence(),
+                        grant.getGrantedTokens(),
+                        grant.getRetryAfterMillis());
+            }
+            case TEAM_USE_REPORT ->
+                new PeerMessage.TeamUseReport(body.getTeamUseReport().getUses().stream()
+                        .map(use -> new PeerMessage.TeamUse(
+                                new TeamName(use.getTeam()), use.getAdmittedTokens(), use.getRefusedCalls()))
+                        .toList());
+            case TEAM_SHARES -> fromWire(body.getTeamShares());
             default ->
                 throw new IllegalArgumentException("message type %s is not supported".formatted(body.getSetField()));
         };
     }
 
+    private static WireDemandReport toWire(PeerMessage.DemandReport report) {
+        WireDemandReport wire = new WireDemandReport(
+                report.demands().stream().map(GatewayMessageCodec::toWire).toList());
+        if (!report.unreachable().isEmpty()) {
+            wire.setUnreachable(
+                    report.unreachable().stream().map(UpstreamId::value).toList());
+        }
+        if (!report.timings().isEmpty()) {
+            wire.setTimings(report.timings().stream()
+                    .map(timing -> new WireReplicaTiming(timing.replica().value(), timing.samples(), timing.ratio()))
+                    .toList());
+        }
+        return wire;
+    }
+
     private static WireFailureReport toWire(PeerMessage.FailureReport report) {
         WireFailureReport wire = new WireFailureReport(
                 report.runs().stream().map(GatewayMessageCodec::toWire).toList(),
@@ -184,9 +261,20 @@
 
     private static PeerMessage.DemandReport fromWire(WireDemandReport wire) {
         List<String> unreachable = wire.isSetUnreachable() ? wire.getUnreachable() : List.of();
+        List<WireReplicaTiming> timings = wire.isSetTimings() ? wire.getTimings() : List.of();
         return new PeerMessage.DemandReport(
                 wire.getDemands().stream().map(GatewayMessageCodec::fromWire).toList(),
-                unreachable.stream().map(UpstreamId::new).toList());
+                unreachable.stream().map(UpstreamId::new).toList(),
+                timings.stream()
+                        .map(timing -> new PeerMessage.ReplicaTiming(
+                                new UpstreamId(timing.getReplica()), timing.getSamples(), timing.getRatio()))
+                        .toList());
+    }
+
+    private static PeerMessage.TeamShares fromWire(WireTeamShares wire) {
+        Map<TeamName, Double> aboveShare = new HashMap<>();
+        wire.getAboveShare().forEach(share -> aboveShare.put(new TeamName(share.getTeam()), share.getFactor()));
+        return new PeerMessage.TeamShares(wire.isShortage(), aboveShare);
     }
 
     private static PeerMessage.WeightDemand fromWire(WireWeightDemand wire) {
--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -14,6 +14,7 @@
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.StreamId;
+import org.tarragonring.ids.TeamName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.routing.Suspect;
 
@@ -104,13 +105,113 @@
      *
      * @param demands the demand for each model, and its use on each replica, not null
      * @param unreachable the replicas that are listed but that the sender cannot use, not null
+     * @param timings how long the calls took that have ended since the last report, not null
      */
-    record DemandReport(List<WeightDemand> demands, List<UpstreamId> unreachable) implements PeerMessage {
+    record DemandReport(List<WeightDemand> demands, List<UpstreamId> unreachable, List<ReplicaTiming> timings)
+            implements PeerMessage {
 
         /** Makes immutable copies of the lists. */
         public DemandReport {
             demands = List.copyOf(demands);
             unreachable = List.copyOf(unreachable);
+            timings = List.copyOf(timings);
+        }
+
+        /**
+         * Creates a report without timings.
+         *
+         * @param demands the demand for each model, and its use on each replica, not null
+         * @param unreachable the replicas that are listed but that the sender cannot use, not null
+         */
+        public DemandReport(List<WeightDemand> demands, List<UpstreamId> unreachable) {
+            this(demands, unreachable, List.of());
+        }
+    }
+
+    /**
+     * How long calls took at a replica.
+     *
+     * @param replica the replica, not null
+     * @param samples the number of calls
+     * @param ratio the mean duration, as a multiple of the one expected of a replica of speed 1 with the same load
+     */
+    record ReplicaTiming(UpstreamId replica, int samples, double ratio) {}
+
+    /**
+     * Tells all entries what the calls of all of them use at replicas.
+     *
+     * @param loads the load of each replica that has calls or whose speed is known, not null
+     */
+    record ReplicaLoadDigest(List<ReplicaLoad> loads) implements PeerMessage {
+
+        /** Makes an immutable copy of the list. */
+        public ReplicaLoadDigest {
+            loads = List.copyOf(loads);
+        }
+    }
+
+    /**
+     * The load of a replica.
+     *
+     * @param replicaHash a hash of the replica's id
+     * @param inFlight the number of calls of all entries that the replica runs
+     * @param speedPercent the speed of the replica in percent of the usual one, 0 if it is not known
+     */
+    record ReplicaLoad(int replicaHash, int inFlight, int speedPercent) {}
+
+    /**
+     * Asks the coordinator of a team's quota for tokens, and returns unused ones.
+     *
+     * @param team the team, not null
+     * @param sequence identifies the request; the same in a repeated one
+     * @param wantedTokens the number of tokens that the sender needs, 0 or more
+     * @param returnedTokens the number of tokens of earlier grants that the sender returns, 0 or more
+     */
+    record QuotaRequest(TeamName team, long sequence, long wantedTokens, long returnedTokens) implements PeerMessage {}
+
+    /**
+     * Answers a {@link QuotaRequest}.
+     *
+     * @param team the team, not null
+     * @param sequence that of the request
+     * @param grantedTokens the number of tokens that the receiver may spend, 0 or more
+     * @param retryAfterMillis the time until the wanted tokens are available, 0 if they are granted
+     */
+    record QuotaGrant(TeamName team, long sequence, long grantedTokens, long retryAfterMillis) implements PeerMessage {}
+
+    /**
+     * Reports what teams have used at the sender.
+     *
+     * @param uses the use of each team, not null
+     */
+    record TeamUseReport(List<TeamUse> uses) implements PeerMessage {
+
+        /** Makes an immutable copy of the list. */
+        public TeamUseReport {
+            uses = List.copyOf(uses);
+        }
+    }
+
+    /**
+     * What a team has used at one entry since the start of its process. Totals make the loss of a report harmless.
+     *
+     * @param team the team, not null
+     * @param admittedTokens the tokens of all admitted calls
+     * @param refusedCalls the number of calls that were refused for want of room
+     */
+    record TeamUse(TeamName team, long admittedTokens, long refusedCalls) {}
+
+    /**
+     * Tells all entries which teams use more than their fair share.
+     *
+     * @param shortage whether there is too little room for all calls
+     * @param aboveShare the teams above their share, each with its use divided by its share; not null
+     */
+    record TeamShares(boolean shortage, Map<TeamName, Double> aboveShare) implements PeerMessage {
+
+        /** Makes an immutable copy of the map. */
+        public TeamShares {
+            aboveShare = Map.copyOf(aboveShare);
         }
     }
 
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -78,9 +78,65 @@
   7: required i64 slackMillis
 }
 
+/** How long calls took at a replica, as a multiple of what they would take at a replica of speed 1 with that load. */
+struct WireReplicaTiming {
+  1: required string replica
+  2: required i32 samples
+  3: required double ratio
+}
+
 struct WireDemandReport {
   1: required list<WireWeightDemand> demands
   2: optional list<string> unreachable
+  3: optional list<WireReplicaTiming> timings
+}
+
+/** The calls of all entries at one replica, which is named by a hash of its id. */
+struct WireReplicaLoad {
+  1: required i32 replicaHash
+  2: required i32 inFlight
+  3: required i32 speedPercent
+}
+
+struct WireReplicaLoadDigest {
+  1: required list<WireReplicaLoad> loads
+}
+
+/** Asks the coordinator of a team's quota for tokens, and returns unused ones. */
+struct WireQuotaRequest {
+  1: required string team
+  2: required i64 sequence
+  3: required i64 wantedTokens
+  4: required i64 returnedTokens
+}
+
+struct WireQuotaGrant {
+  1: required string team
+  2: required i64 sequence
+  3: required i64 grantedTokens
+  4: required i64 retryAfterMillis
+}
+
+/** What the calls of a team used at one entry since its start. */
+struct WireTeamUse {
+  1: required string team
+  2: required i64 admittedTokens
+  3: required i64 refusedCalls
+}
+
+struct WireTeamUseReport {
+  1: required list<WireTeamUse> uses
+}
+
+/** By what factor a team uses more than its fair share. */
+struct WireTeamExcess {
+  1: required string team
+  2: required double factor
+}
+
+struct WireTeamShares {
+  1: required bool shortage
+  2: required list<WireTeamExcess> aboveShare
 }
 
 /** Asks the entry that holds a replica's order lease to make a model resident. */
@@ -162,6 +218,11 @@
   12: WireFailureReport failureReport
   13: WireStreamReport streamReport
   14: WireReplicaLeaving replicaLeaving
+  15: WireReplicaLoadDigest replicaLoadDigest
+  16: WireQuotaRequest quotaRequest
+  17: WireQuotaGrant quotaGrant
+  18: WireTeamUseReport teamUseReport
+  19: WireTeamShares teamShares
 }
 
 /** One datagram between entries. */
--- a/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/peer/DatagramCodecTest.java
@@ -17,6 +17,7 @@
 import org.tarragonring.ids.SlotId;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.StreamId;
+import org.tarragonring.ids.TeamName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.routing.Suspect;
 
@@ -69,6 +70,7 @@
 
     static List<PeerMessage> messages() {
         ModelName model = new ModelName("quote-tote");
+        TeamName team = new TeamName("boutiques");
         PeerMessage.Replica replica = new PeerMessage.Replica(
                 new SlotId("slot"), new UpstreamId("engine"), ADDRESS, false, Duration.ofMillis(1500));
         return List.of(
@@ -94,7 +96,16 @@
                                         10)),
                         List.of(new PeerMessage.Answered(new RequestFingerprint("2c3d"), 10))),
                 new PeerMessage.StreamReport(
-                        Map.of(new StreamId("c1"), new SoftwareVersion("v2")), List.of(new StreamId("c2"))));
+                        Map.of(new StreamId("c1"), new SoftwareVersion("v2")), List.of(new StreamId("c2"))),
+                new PeerMessage.DemandReport(
+                        List.of(),
+                        List.of(new UpstreamId("engine")),
+                        List.of(new PeerMessage.ReplicaTiming(new UpstreamId("engine"), 3, 1.5))),
+                new PeerMessage.ReplicaLoadDigest(List.of(new PeerMessage.ReplicaLoad(-17, 4, 55))),
+                new PeerMessage.QuotaRequest(team, 1, 9_190, 20),
+                new PeerMessage.QuotaGrant(team, 1, 4_000, 250),
+                new PeerMessage.TeamUseReport(List.of(new PeerMessage.TeamUse(team, 18_380, 2))),
+                new PeerMessage.TeamShares(true, Map.of(team, 2.5)));
     }
 
     private static Datagram datagram(PeerMessage message) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallCodec.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallCodec.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import io.vertx.core.MultiMap;
-import org.tarragonring.ids.UpstreamId;
 
 /**
  * Reads and writes the HTTP headers of calls and of their responses.
@@ -27,12 +26,10 @@
      * Creates the headers of a request to a replica.
      *
      * @param callerHeaders the headers of the call, not null
-     * @param replica the only replica that may run the call, not null
-     * @param remaining the time until the call's deadline, not null
-     * @param lastEventId the id of the event after which a stream resumes, empty if no event has arrived yet; not null
+     * @param head what this entry adds, not null
      * @return new headers, never null
      */
-    MultiMap toReplica(MultiMap callerHeaders, UpstreamId replica, Duration remaining, Optional<String> lastEventId);
+    MultiMap toReplica(MultiMap callerHeaders, ReplicaRequestHead head);
 
     /**
      * Parses the status and headers of a replica's response.
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/CallHead.java
@@ -7,6 +7,7 @@
 
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.StreamId;
+import org.tarragonring.policy.team.ApiKey;
 
 /**
  * The values parsed from the headers of a call.
@@ -18,6 +19,8 @@
  * @param promptPrefixIds the ids of the shared prefix parts of the prompt, from the most to the least widely shared;
  *     the last one belongs to the call's own session; not null
  * @param resumedStream what the call takes up again, empty if it is a new one; not null
+ * @param apiKey the key of the caller, empty if there is none; not null
+ * @param tokenCount the size of the call, empty if the caller does not tell it in a readable form; not null
  * @since 0.2.0
  */
 public record CallHead(
@@ -26,7 +29,9 @@
         Optional<ModelName> model,
         String adapter,
         List<String> promptPrefixIds,
-        Optional<ResumedStream> resumedStream) {
+        Optional<ResumedStream> resumedStream,
+        Optional<ApiKey> apiKey,
+        Optional<TokenCount> tokenCount) {
 
     /** Validates the components and copies the list. */
     public CallHead {
@@ -36,6 +41,8 @@
         Objects.requireNonNull(adapter, "adapter");
         promptPrefixIds = List.copyOf(promptPrefixIds);
         Objects.requireNonNull(resumedStream, "resumedStream");
+        Objects.requireNonNull(apiKey, "apiKey");
+        Objects.requireNonNull(tokenCount, "tokenCount");
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -311,6 +311,8 @@
                 head,
                 route,
                 service,
+                currentConfig.teams().isPresent(),
+                Optional.empty(),
                 body,
                 memory,
                 arrivalMillis,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpServerRequest;
 import org.tarragonring.gateway.call.CallHead;
+import org.tarragonring.gateway.call.CallerIdentity;
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.ServiceName;
@@ -19,6 +20,7 @@
 import org.tarragonring.policy.config.Route;
 import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.policy.team.Team;
 import org.tarragonring.routing.Suspect;
 
 /** The state of one call from its arrival to its end, over all attempts. Not thread-safe. */
@@ -35,6 +37,11 @@
     final Route route;
     final ServiceName service;
     final Optional<WeightKey> weights;
+    /** Whether the configuration has teams, so that neither keys nor team names of callers are passed on. */
+    final boolean teamsConfigured;
+    /** The team that holds the caller's key, empty for an anonymous call or if the configuration has no teams. */
+    final Optional<Team> team;
+
     final Buffer body;
     /** The memory of the body, to be released when the call ends. */
     final MemoryBudget.Reservation memory;
@@ -87,6 +94,8 @@
             CallHead head,
             Route route,
             ServiceName service,
+            boolean teamsConfigured,
+            Optional<Team> team,
             Buffer body,
             MemoryBudget.Reservation memory,
             long arrivalMillis,
@@ -96,6 +105,8 @@
         this.head = head;
         this.route = route;
         this.service = service;
+        this.teamsConfigured = teamsConfigured;
+        this.team = team;
         this.weights = head.model().map(model -> new WeightKey(service, model, head.adapter()));
         this.body = body;
         this.memory = memory;
@@ -104,6 +115,11 @@
         this.firstEventDeadlineMillis = firstEventDeadlineMillis;
     }
 
+    /** Returns what the replicas are told about the caller. */
+    CallerIdentity callerIdentity() {
+        return teamsConfigured ? new CallerIdentity(true, team.map(Team::name)) : CallerIdentity.WITHOUT_TEAMS;
+    }
+
     /** Returns the fingerprint of the request. Computes it on first use, as most calls never need it. */
     RequestFingerprint fingerprint() {
         if (fingerprint == null) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -15,6 +16,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.gateway.call.CallCodec;
+import org.tarragonring.gateway.call.ReplicaRequestHead;
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
@@ -315,9 +317,12 @@
                 .setURI(exchange.request.uri())
                 .setHeaders(codec.toReplica(
                         exchange.request.headers(),
-                        replica.id(),
-                        Duration.ofMillis(remainingMillis),
-                        exchange.framer.lastId()));
+                        new ReplicaRequestHead(
+                                replica.id(),
+                                Duration.ofMillis(remainingMillis),
+                                exchange.framer.lastId(),
+                                exchange.callerIdentity(),
+                                OptionalInt.empty())));
         int attemptNumber = exchange.attemptNumber;
         client.request(options)
                 .onFailure(failure -> onConnectFailed(exchange, replica, attemptNumber, failure))
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -111,8 +111,28 @@
                 1,
                 2,
                 true,
+                false,
                 List.of(new WeightedService(SERVICE, 1)));
-        CallHead head = new CallHead("call", Optional.empty(), Optional.of(MODEL), "", List.of(), Optional.empty());
-        return new Exchange(null, head, route, SERVICE, null, null, nowMillis, nowMillis + 15_000, nowMillis + 10_000);
+        CallHead head = new CallHead(
+                "call",
+                Optional.empty(),
+                Optional.of(MODEL),
+                "",
+                List.of(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty());
+        return new Exchange(
+                null,
+                head,
+                route,
+                SERVICE,
+                false,
+                Optional.empty(),
+                null,
+                null,
+                nowMillis,
+                nowMillis + 15_000,
+                nowMillis + 10_000);
     }
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/ShutdownAdmissionTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/ShutdownAdmissionTest.java
@@ -80,14 +80,25 @@
                 0,
                 1,
                 false,
+                false,
                 List.of(new WeightedService(new ServiceName("app"), 1)));
-        CallHead head = new CallHead("call-1", Optional.empty(), Optional.empty(), "", List.of(), Optional.empty());
+        CallHead head = new CallHead(
+                "call-1",
+                Optional.empty(),
+                Optional.empty(),
+                "",
+                List.of(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty());
         long deadlineMillis = time.millis() + timeout.toMillis();
         return new Exchange(
                 null,
                 head,
                 route,
                 new ServiceName("app"),
+                false,
+                Optional.empty(),
                 Buffer.buffer(),
                 new MemoryBudget(0).reserve(),
                 time.millis(),
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/config/Route.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/config/Route.java
@@ -19,6 +19,7 @@
  * @param priority the priority of the calls, 0 is the most urgent
  * @param maxAttempts the maximum number of replicas that may run the same call
  * @param resumable whether an interrupted stream may be resumed on another replica
+ * @param allowsAnonymous whether calls need no key
  * @param services the services that the calls are distributed to by weight, not empty
  * @since 0.2.0
  */
@@ -33,6 +34,7 @@
         int priority,
         int maxAttempts,
         boolean resumable,
+        boolean allowsAnonymous,
         List<WeightedService> services) {
 
     /**
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
@@ -12,6 +12,7 @@
 
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
+import org.tarragonring.policy.team.TeamDirectory;
 
 /**
  * A version of the configuration for serving calls.
@@ -24,6 +25,7 @@
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
     private final Map<ServiceName, ServiceSpec> services;
     private final RequestLimits limits;
+    private final Optional<TeamDirectory> teams;
 
     /**
      * Creates a configuration.
@@ -32,12 +34,18 @@
      * @param routes the routes, not null
      * @param services the services by name, not null
      * @param limits the request limits, not null
+     * @param teams the teams of callers, empty if calls need no keys; not null
      */
     public ServingConfig(
-            long version, List<Route> routes, Map<ServiceName, ServiceSpec> services, RequestLimits limits) {
+            long version,
+            List<Route> routes,
+            Map<ServiceName, ServiceSpec> services,
+            RequestLimits limits,
+            Optional<TeamDirectory> teams) {
         this.version = version;
         this.services = Map.copyOf(services);
         this.limits = Objects.requireNonNull(limits, "limits");
+        this.teams = Objects.requireNonNull(teams, "teams");
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
@@ -95,6 +103,15 @@
         return services;
     }
 
+    /**
+     * Returns the teams of callers.
+     *
+     * @return the teams, empty if calls need no keys
+     */
+    public Optional<TeamDirectory> teams() {
+        return teams;
+    }
+
     /**
      * Returns how long a stream may last on any route.
      *
--- /dev/null
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/team/package-info.java
@@ -0,0 +1,2 @@
+/** The teams of callers, and the keys by which their calls are recognized. */
+package org.tarragonring.policy.team;
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/config/ServingConfigTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/config/ServingConfigTest.java
@@ -22,7 +22,7 @@
     private final Route longPrefix =
             route("narrow", "/shop/book/", RouteKind.NON_IDEMPOTENT, List.of(new WeightedService(SHOP, 1)));
     private final ServingConfig config =
-            new ServingConfig(3, List.of(shortPrefix, longPrefix), Map.of(), RequestLimits.DEFAULT);
+            new ServingConfig(3, List.of(shortPrefix, longPrefix), Map.of(), RequestLimits.DEFAULT, Optional.empty());
 
     @Test
     void longestMatchingPrefixIsSelected() {
@@ -106,6 +106,7 @@
                 1,
                 1,
                 false,
+                false,
                 List.of(new WeightedService(ASSISTANT, 1)));
     }
 
@@ -121,6 +122,7 @@
                 1,
                 1,
                 false,
+                false,
                 services);
     }
 }
