Forward no response whose status or end is uncertain

Callers got the status 000, 099, 600 or 999 of a replica in trouble as a response, and an empty response with status 199. They got a part of a body as a complete one: the replica sent a 200 without a length, a part of the body and the end of its side of the connection while the upload was still being sent; the reset came later.

A status below 200 or above 599 is now a failure of the replica that may have run. So is a body with neither length nor chunks that ends with its connection before the request was written whole. The kernel accepts 256 KiB at most, so that an unread upload is seen as one. A close after the whole request still ends such a body, as the protocol says. Both interfaces use ResponseFraming.

--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamClient.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamClient.java
@@ -29,6 +29,9 @@
 
     private static final int MAX_CONNECTIONS_PER_UPSTREAM = 512;
 
+    /** Keeps the system from accepting a whole large request of which the upstream has read nothing. */
+    private static final int SEND_BUFFER_BYTES = 256 << 10;
+
     private final HttpClient client;
 
     private UpstreamClient(HttpClient client) {
@@ -44,7 +47,8 @@
     public static UpstreamClient create(Vertx vertx) {
         Objects.requireNonNull(vertx, "vertx");
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_UPSTREAM);
-        return new UpstreamClient(vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false), pool));
+        return new UpstreamClient(vertx.createHttpClient(
+                new HttpClientOptions().setKeepAlive(false).setSendBufferSize(SEND_BUFFER_BYTES), pool));
     }
 
     /**
@@ -69,24 +73,34 @@
     private static Future<UpstreamResponse> send(UpstreamRequest request, HttpClientRequest httpRequest) {
         httpRequest.headers().addAll(request.headers());
         httpRequest.putHeader(UpstreamHeaders.CALL_ID, request.callId().value());
-        return httpRequest
-                .send(request.body())
+        Future<HttpClientResponse> responded = httpRequest.response();
+        Future<Void> requestSent = httpRequest.end(request.body());
+        return responded
                 .recover(failure -> Future.failedFuture(callException(Verdict.MAY_HAVE_RUN, request, failure)))
-                .compose(response -> verifyCallId(request, response));
+                .compose(response -> verify(request, response, requestSent));
     }
 
-    private static Future<UpstreamResponse> verifyCallId(UpstreamRequest request, HttpClientResponse response) {
+    private static Future<UpstreamResponse> verify(
+            UpstreamRequest request, HttpClientResponse response, Future<Void> requestSent) {
+        if (!ResponseFraming.isFinalStatus(response.statusCode())) {
+            return reject(
+                    response,
+                    "upstream at %s sent %d, which is no status".formatted(request.address(), response.statusCode()));
+        }
         String returnedCallId = response.getHeader(UpstreamHeaders.CALL_ID);
-        if (request.callId().value().equals(returnedCallId)) {
-            return Future.succeededFuture(UpstreamResponse.paused(response));
+        if (!request.callId().value().equals(returnedCallId)) {
+            return reject(
+                    response,
+                    "upstream at %s returned call id \"%s\", expected \"%s\""
+                            .formatted(request.address(), returnedCallId, request.callId()));
         }
+        return Future.succeededFuture(UpstreamResponse.paused(response, requestSent));
+    }
+
+    private static Future<UpstreamResponse> reject(HttpClientResponse response, String message) {
         response.request().reset();
-        return Future.failedFuture(new CallException(
-                RefusalReason.UPSTREAM_BROKE_OFF,
-                Verdict.MAY_HAVE_RUN,
-                Duration.ZERO,
-                "upstream at %s returned call id \"%s\", expected \"%s\""
-                        .formatted(request.address(), returnedCallId, request.callId())));
+        return Future.failedFuture(
+                new CallException(RefusalReason.UPSTREAM_BROKE_OFF, Verdict.MAY_HAVE_RUN, Duration.ZERO, message));
     }
 
     private static CallException callException(Verdict verdict, UpstreamRequest request, Throwable cause) {
--- a/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/upstream/UpstreamResponse.java
@@ -13,9 +13,10 @@
  *
  * @param response the HTTP response, not null
  * @param brokenOff fails if the response breaks off before a reader is set, not null
+ * @param requestSent completes when the whole request was written to the connection, not null
  * @since 0.1.0
  */
-public record UpstreamResponse(HttpClientResponse response, Future<Void> brokenOff) {
+public record UpstreamResponse(HttpClientResponse response, Future<Void> brokenOff, Future<Void> requestSent) {
 
     private static final int STATUS_OK = 200;
 
@@ -23,19 +24,21 @@
     public UpstreamResponse {
         Objects.requireNonNull(response, "response");
         Objects.requireNonNull(brokenOff, "brokenOff");
+        Objects.requireNonNull(requestSent, "requestSent");
     }
 
     /**
      * Pauses a response until it gets a reader.
      *
      * @param response a response of which nothing has been read, not null
+     * @param requestSent completes when the whole request was written to the connection, not null
      * @return the response
      */
-    static UpstreamResponse paused(HttpClientResponse response) {
+    static UpstreamResponse paused(HttpClientResponse response, Future<Void> requestSent) {
         response.pause();
         Promise<Void> brokenOff = Promise.promise();
         response.exceptionHandler(brokenOff::tryFail);
-        return new UpstreamResponse(response, brokenOff.future());
+        return new UpstreamResponse(response, brokenOff.future(), requestSent);
     }
 
     /**
@@ -46,11 +49,21 @@
     public Future<Buffer> readBody() {
         Promise<Buffer> body = Promise.promise();
         brokenOff.onFailure(body::tryFail);
-        response.body().onSuccess(body::tryComplete).onFailure(body::tryFail);
+        response.body().onSuccess(bytes -> onEnd(bytes, body)).onFailure(body::tryFail);
         response.resume();
         return body.future();
     }
 
+    private void onEnd(Buffer bytes, Promise<Buffer> body) {
+        boolean isEndUncertain =
+                !requestSent.succeeded() && ResponseFraming.isDelimitedByClose(status(), response.headers());
+        if (isEndUncertain) {
+            body.tryFail("the connection ended before the request was sent");
+        } else {
+            body.tryComplete(bytes);
+        }
+    }
+
     /**
      * Returns the status code.
      *
--- a/tarragonring-core/src/test/java/org/tarragonring/upstream/UpstreamClientTest.java
+++ b/tarragonring-core/src/test/java/org/tarragonring/upstream/UpstreamClientTest.java
@@ -1,5 +1,8 @@
 package org.tarragonring.upstream;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
@@ -15,6 +18,8 @@
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.tarragonring.errors.CallException;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.ids.CallId;
@@ -30,6 +35,9 @@
 
     private static final int TIMEOUT_SECONDS = 20;
     private static final int READ_DELAY_MILLIS = 200;
+    /** More than the kernels of both ends buffer, so that it is not sent whole before the upstream reads it. */
+    private static final int UPLOAD_BYTES = 16 << 20;
+
     private static final String CALL_ID = "call-1";
     private static final String REFUSAL =
             "HTTP/1.1 404 Not Found\r\nX-Call-Id: call-1\r\nX-Verdict: not-run\r\nContent-Length: 0\r\n\r\n";
@@ -97,14 +105,43 @@
         assertThrows(ExecutionException.class, () -> await(response.readBody()));
     }
 
+    // Guards against a status that is none and reaches the caller as a response.
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "199", "600", "999"})
+    void statusThatIsNoFinalOneMayHaveRun(String status) throws Exception {
+        HostPort upstream = listen((socket, number) -> socket.write(RESPONSE.replace("200", status)));
+
+        ExecutionException failure = assertThrows(ExecutionException.class, () -> send(upstream));
+
+        assertEquals(Verdict.MAY_HAVE_RUN, CallException.of(failure.getCause()).verdict());
+    }
+
+    // Guards against a part of a body that is taken for the whole one: its server failed before it had read the
+    // request.
+    @Test
+    void bodyThatEndsWithItsConnectionBeforeTheRequestIsSentIsNotComplete() throws Exception {
+        String response = RESPONSE.replace("Content-Length: 2\r\n", "");
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Future<UpstreamResponse> started = client.send(
+                    request(new HostPort("127.0.0.1", server.getLocalPort()), Buffer.buffer(new byte[UPLOAD_BYTES])));
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read();
+                socket.getOutputStream().write(response.getBytes());
+                socket.shutdownOutput();
+
+                UpstreamResponse head = await(started);
+                assertThrows(ExecutionException.class, () -> await(head.readBody()));
+            }
+        }
+    }
+
     private UpstreamResponse send(HostPort upstream) throws Exception {
-        return await(client.send(new UpstreamRequest(
-                upstream,
-                HttpMethod.POST,
-                "/",
-                MultiMap.caseInsensitiveMultiMap(),
-                Buffer.buffer("body"),
-                new CallId(CALL_ID))));
+        return await(client.send(request(upstream, Buffer.buffer("body"))));
+    }
+
+    private static UpstreamRequest request(HostPort upstream, Buffer body) {
+        return new UpstreamRequest(
+                upstream, HttpMethod.POST, "/", MultiMap.caseInsensitiveMultiMap(), body, new CallId(CALL_ID));
     }
 
     private HostPort listen(Script script) throws Exception {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -1,5 +1,6 @@
 package org.tarragonring.gateway.forward;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -18,6 +19,7 @@
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.upstream.MediaTypes;
+import org.tarragonring.upstream.ResponseFraming;
 
 /**
  * One request to a replica, from the established connection to the end of the response. Not thread-safe.
@@ -53,6 +55,9 @@
     private ReplicaRuns.Run run;
     private boolean ended;
     private boolean responding;
+    /** Completes when the whole request was written to the connection. */
+    private Future<Void> requestSent = Future.failedFuture("not started");
+
     private boolean connectionFailed;
 
     /**
@@ -93,9 +98,10 @@
                 exchange.deadlineMillis - context.clock.millis());
         request.connection().exceptionHandler(failure -> connectionFailed = true);
         request.connection().closeHandler(closed -> onClosed());
-        request.send(exchange.body)
+        request.response()
                 .onSuccess(this::onResponse)
                 .onFailure(failure -> failed(Verdict.MAY_HAVE_RUN, "no response: " + failure.getMessage()));
+        requestSent = request.end(exchange.body);
     }
 
     private ModelName model() {
@@ -168,7 +174,9 @@
         }
         responding = true;
         boolean isSuccess = response.statusCode() / 100 == 2;
-        if (!head.belongsToCall()) {
+        if (!ResponseFraming.isFinalStatus(response.statusCode())) {
+            failed(Verdict.MAY_HAVE_RUN, "the replica sent %d, which is no status".formatted(response.statusCode()));
+        } else if (!head.belongsToCall()) {
             failed(Verdict.MAY_HAVE_RUN, "the response belongs to another call");
         } else if (head.notRun()) {
             onRejected(response.statusCode());
@@ -246,6 +254,13 @@
         }
     }
 
+    /** Returns whether the end of a response may be its connection's alone, as the replica failed. */
+    private boolean isEndUncertain(HttpClientResponse response) {
+        return connectionFailed
+                || !requestSent.succeeded()
+                        && ResponseFraming.isDelimitedByClose(response.statusCode(), response.headers());
+    }
+
     /** Starts the response to the caller with the status and headers of the replica's response. */
     private HttpServerResponse startResponse(HttpClientResponse response) {
         HttpServerResponse callerResponse = exchange.request.response();
@@ -319,8 +334,8 @@
             if (ended || exchange.finished) {
                 return;
             }
-            if (connectionFailed) {
-                failed(Verdict.MAY_HAVE_RUN, "the connection failed at the end of the response");
+            if (isEndUncertain(response)) {
+                failed(Verdict.MAY_HAVE_RUN, "the connection ended before the response was known to be complete");
                 return;
             }
             if (callerResponse == null) {
@@ -374,7 +389,7 @@
             if (ended || exchange.finished) {
                 return;
             }
-            if (connectionFailed || exchange.framer.partialLength() > 0 || !exchange.responseStarted) {
+            if (isEndUncertain(response) || exchange.framer.partialLength() > 0 || !exchange.responseStarted) {
                 onBroken("the stream ended before the end of an event");
                 return;
             }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -124,6 +124,7 @@
         MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_BODY_BYTE);
         this.bodyReader = new BodyReader(memory, callerConnections, timers);
         HttpClientOptions options = new HttpClientOptions()
+                .setSendBufferSize(SOCKET_BUFFER_BYTES)
                 .setReceiveBufferSize(SOCKET_BUFFER_BYTES)
                 .setKeepAlive(false)
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
