Serve calls with keys for the team that holds the key, and refuse the others

The configuration may have teams with keys. Until now the key was passed on to replicas and nothing was refused.

CallAuthenticator finds the team of a call before its body is read: 401 without a known key, 503 with Retry-After while the configuration is not confirmed. KeyFreshness counts from the sending of the last answered request for the configuration, on the clock that has advanced more. /api/readyz answers 503 with the reason meanwhile.

Bounds come from [keys] of the settings; where the platform names none, and for configurations without teams, nothing changes.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -171,6 +171,11 @@
     CALL_QUARANTINED(715, Logger.Level.INFO, "request %s is quarantined for %s ms more"),
     /** A call was refused because a part of its prompt is quarantined. */
     CALL_WITH_QUARANTINED_PART(717, Logger.Level.INFO, "prompt part %s, fingerprint %s, is quarantined for %s ms more"),
+    /** The entry stopped to serve calls with keys, or serves them again. */
+    KEYED_CALLS_SERVED(
+            720,
+            Logger.Level.WARN,
+            "entry %s serves calls with keys=%s, the store confirmed the configuration as of %s ms ago"),
     /** An unexpected failure was caught. */
     UNEXPECTED_FAILURE(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
     /** An invariant was violated. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -34,6 +34,7 @@
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
 import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
+import org.tarragonring.gateway.team.KeyedCalls;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.objects.RevisionedStore;
@@ -60,20 +61,6 @@
  */
 public final class Gateway {
 
-    /** The part of the contact time for a repeated watch request and for applying what it returns. */
-    private static final Duration REPEATED_WATCH_TIME = Duration.ofMillis(400);
-
-    /** Keeps the number of watch requests bounded if the contact time is short. */
-    private static final Duration MIN_WATCH_TIMEOUT = Duration.ofMillis(500);
-
-    /** The part of the drain time for the watch request that returns a change, and for one repetition of it. */
-    private static final Duration REPLICA_WATCH_TIME = Duration.ofMillis(600);
-
-    private static final Duration MIN_REPLICA_BATCH_DELAY = Duration.ofMillis(100);
-
-    /** Keeps registrations younger than the states of replicas assume. */
-    private static final Duration MAX_REPLICA_BATCH_DELAY = Duration.ofMillis(1_700);
-
     /** How much later than its removal a replica may still be listed at another entry, and begin streams there. */
     private static final Duration LIST_LAG = Duration.ofSeconds(3);
 
@@ -101,6 +88,7 @@
     private final ReplicaClient replicaClient;
     private final StreamVersions streamVersions;
     private final ServingVersions servingVersions;
+    private final KeyedCalls keyedCalls;
     private final CallServer server;
     private final Function<StoredObject, Optional<ServingConfig>> configDecoder;
     private Optional<ServingConfig> config = Optional.empty();
@@ -137,15 +125,7 @@
         this.leavingReplicas = new LeavingReplicas(catalog, mesh::broadcast);
         this.replicaClient = new MeteredReplicaClient(dependencies.replicaClient(), metrics, clocks.monotonic());
         this.leaseManager = createLeaseManager();
-        this.loadRouter = new LoadRequestRouter(
-                settings.id(),
-                leaseManager,
-                catalog,
-                replicaClient,
-                mesh,
-                this::config,
-                clocks.monotonic(),
-                new Delays(timers));
+        this.loadRouter = createLoadRouter();
         this.planning = new PlanningService(
                 settings.id(),
                 mesh,
@@ -156,12 +136,13 @@
                 this::config,
                 clocks.monotonic(),
                 timers);
-        Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout());
+        Duration watchTimeout = WatchTiming.watchTimeout(settings.contactTime(), dependencies.storeTimeout());
         this.quarantine = new RequestQuarantine(
                 settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
         this.streamVersions =
                 new StreamVersions(settings.id(), settings.failureDomain(), mesh, clocks.monotonic(), timers);
         this.servingVersions = createServingVersions(dependencies);
+        this.keyedCalls = new KeyedCalls(settings.id(), settings.keys(), this::config, clocks, timers, metrics);
         this.server = new CallServer(
                 callContext(vertx, dependencies, ejections, random, metrics),
                 this::config,
@@ -170,12 +151,16 @@
                 new RetryBudgets(settings.retryBudget(), () -> mesh.alive().size(), clocks.monotonic()),
                 quarantine,
                 loadRouter);
-        this.configWatcher =
-                createWatcher(dependencies.configPrefix(), watchTimeout, Duration.ZERO, this::onConfig, key -> {});
+        this.configWatcher = createWatcher(
+                dependencies.configPrefix(),
+                keyedCalls.watchTime(watchTimeout, dependencies.storeTimeout()),
+                Duration.ZERO,
+                this::onConfig,
+                key -> {});
         this.replicaWatcher = createWatcher(
                 dependencies.replicaPrefix(),
                 watchTimeout,
-                replicaBatchDelay(settings.drainTime()),
+                WatchTiming.replicaBatchDelay(settings.drainTime()),
                 object -> dependencies.replicaDecoder().apply(object).ifPresent(catalog::put),
                 this::onReplicaRemoved);
         this.configDecoder = dependencies.configDecoder();
@@ -185,6 +170,7 @@
 
     private void connect() {
         catalog.setListCurrent(replicaWatcher::isCurrent);
+        keyedCalls.follow(configWatcher);
         mesh.on(PeerMessage.ReplicaLeaving.class, (from, notice) -> leavingReplicas.onNotice(notice));
         replicaClient.onLeaving(replica ->
                 leavingReplicas.onResponse(replica.id(), replica.process().startMillis()));
@@ -224,6 +210,7 @@
                 settings.callerAddress(),
                 settings.peerAddress(),
                 clocks.monotonic().millis() - startMillis);
+        keyedCalls.start();
         joinWhenReady();
     }
 
@@ -252,6 +239,7 @@
                 .then("new calls", () -> timers.schedule(MIN_DRAIN_TIME, server::refuseNewCalls))
                 .then("membership", mesh::leave)
                 .then("planning", planning::stop)
+                .then("keys", keyedCalls::stop)
                 .then("quarantine", quarantine::stop)
                 .then("software versions", servingVersions::stop)
                 .then("order leases", leaseManager::stop)
@@ -270,10 +258,24 @@
     /**
      * Checks if this entry should receive calls.
      *
-     * @return true if the entry can serve calls and is not shutting down
+     * @return true if the entry can serve calls, also those with keys, and is not shutting down
      */
     public boolean isReady() {
-        return joined && !shuttingDown && canServe();
+        return unreadyReason().isEmpty();
+    }
+
+    /**
+     * Returns why this entry should not receive calls.
+     *
+     * @return the reason, empty if the entry is ready
+     */
+    public Optional<String> unreadyReason() {
+        if (shuttingDown) {
+            return Optional.of("this entry is shutting down");
+        }
+        return joined && canServe()
+                ? keyedCalls.refusalReason()
+                : Optional.of("this entry has not read the configuration and the replica list yet");
     }
 
     /**
@@ -332,7 +334,8 @@
                 clocks.monotonic(),
                 timers,
                 random::nextDouble,
-                metrics);
+                metrics,
+                keyedCalls.authenticator());
     }
 
     private ServingVersions createServingVersions(GatewayDependencies dependencies) {
@@ -443,6 +446,18 @@
                 timers);
     }
 
+    private LoadRequestRouter createLoadRouter() {
+        return new LoadRequestRouter(
+                settings.id(),
+                leaseManager,
+                catalog,
+                replicaClient,
+                mesh,
+                this::config,
+                clocks.monotonic(),
+                new Delays(timers));
+    }
+
     private List<GroupLease> createLeases() {
         List<GroupLease> leases = new ArrayList<>();
         for (int group = 0; group < OrderGroups.GROUP_COUNT; group++) {
@@ -458,27 +473,6 @@
         return leases;
     }
 
-    /**
-     * Returns how long the store may hold a watch request, so that a request whose response never arrives is repeated
-     * and answered within the contact time.
-     */
-    private static Duration watchTimeout(Duration contactTime, Duration storeTimeout) {
-        Duration timeout = contactTime.minus(storeTimeout).minus(REPEATED_WATCH_TIME);
-        return timeout.compareTo(MIN_WATCH_TIMEOUT) < 0 ? MIN_WATCH_TIMEOUT : timeout;
-    }
-
-    /**
-     * Returns how long changes of replicas are collected before the next watch request. Half of the drain time remains
-     * for calls that are about to be sent when the change arrives.
-     */
-    static Duration replicaBatchDelay(Duration drainTime) {
-        Duration delay = drainTime.minus(REPLICA_WATCH_TIME).dividedBy(2);
-        if (delay.compareTo(MIN_REPLICA_BATCH_DELAY) < 0) {
-            return MIN_REPLICA_BATCH_DELAY;
-        }
-        return delay.compareTo(MAX_REPLICA_BATCH_DELAY) < 0 ? delay : MAX_REPLICA_BATCH_DELAY;
-    }
-
     private StoreWatcher createWatcher(
             String prefix,
             Duration watchTimeout,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.log.LogEvent;
@@ -37,6 +39,9 @@
     /** The time in which the store responds to a watch after its end, over a network that loses packets. */
     private static final Duration MAX_RESPONSE_TIME = Duration.ofMillis(500);
 
+    /** The time that the store holds a watch after a failure if confirmations matter, about one round trip. */
+    private static final Duration SHORT_WATCH_TIMEOUT = Duration.ofMillis(10);
+
     private final String prefix;
     private final Duration watchTimeout;
     private final Duration batchDelay;
@@ -55,6 +60,7 @@
     private long interruptedMillis;
     private long lastResponseMillis;
     private long failedEvents;
+    private Optional<Supplier<Runnable>> confirmations = Optional.empty();
 
     /**
      * Creates a watcher that is not started.
@@ -91,6 +97,17 @@
         this.lastResponseMillis = clock.millis();
     }
 
+    /**
+     * Lets a receiver learn as of when the reported objects are confirmed by the store. The first watch after a failed one
+     * is short then, so that the objects are confirmed again without delay.
+     *
+     * @param onSent invoked just before each request is sent; returns the action to run when the request was answered and
+     *     its objects were reported; not null
+     */
+    public void onRequestSent(Supplier<Runnable> onSent) {
+        confirmations = Optional.of(onSent);
+    }
+
     /** Starts with a listing and then watches until stopped. */
     public void start() {
         list();
@@ -156,15 +173,20 @@
             return;
         }
         long sentMillis = clock.millis();
+        Runnable confirm = requestSent();
         Uni.createFrom()
                 .deferred(() -> store.snapshot(prefix))
                 .subscribe()
-                .with(snapshot -> runStep(() -> onSnapshot(snapshot)), failure -> {
+                .with(snapshot -> runStep(() -> onSnapshot(snapshot, confirm)), failure -> {
                     onRequestFailed(failure);
                     timers.schedule(retryDelay(sentMillis), this::list);
                 });
     }
 
+    private Runnable requestSent() {
+        return confirmations.isPresent() ? confirmations.get().get() : () -> {};
+    }
+
     /** Runs a step after which the next request is sent. If the step fails unexpectedly, the objects are listed again. */
     private void runStep(Runnable step) {
         try {
@@ -175,7 +197,7 @@
         }
     }
 
-    private void onSnapshot(RevisionedStore.Snapshot snapshot) {
+    private void onSnapshot(RevisionedStore.Snapshot snapshot, Runnable confirm) {
         onRequestSucceeded();
         Set<String> deletedKeys = new HashSet<>(knownKeys);
         for (StoredObject object : snapshot.objects()) {
@@ -185,6 +207,7 @@
         deletedKeys.forEach(this::scheduleDeletion);
         listed = true;
         lastResponseMillis = clock.millis();
+        confirm.run();
         watch(snapshot.revision());
     }
 
@@ -193,10 +216,14 @@
             return;
         }
         long sentMillis = clock.millis();
+        Duration wait = failing && confirmations.isPresent() ? SHORT_WATCH_TIMEOUT : watchTimeout;
+        Runnable confirm = requestSent();
         Uni.createFrom()
-                .deferred(() -> store.watch(prefix, revision, watchTimeout))
+                .deferred(() -> store.watch(prefix, revision, wait))
                 .subscribe()
-                .with(batch -> runStep(() -> onBatch(batch)), failure -> onWatchFailed(failure, revision, sentMillis));
+                .with(
+                        batch -> runStep(() -> onBatch(batch, confirm)),
+                        failure -> onWatchFailed(failure, revision, sentMillis));
     }
 
     private void onWatchFailed(Throwable failure, long revision, long sentMillis) {
@@ -216,11 +243,12 @@
         }
     }
 
-    private void onBatch(WatchBatch batch) {
+    private void onBatch(WatchBatch batch, Runnable confirm) {
         onRequestSucceeded();
         batch.deletedKeys().forEach(this::scheduleDeletion);
         batch.changed().forEach(this::reportChange);
         lastResponseMillis = clock.millis();
+        confirm.run();
         boolean unchanged = batch.changed().isEmpty() && batch.deletedKeys().isEmpty();
         boolean awaitsReturns = !pendingDeletions.isEmpty();
         if (unchanged || awaitsReturns || batchDelay.isZero()) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -27,6 +27,7 @@
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
 import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
+import org.tarragonring.gateway.team.CallAuthenticator;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
@@ -38,6 +39,7 @@
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.policy.routing.ReplicaPicker;
+import org.tarragonring.policy.team.Team;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
@@ -85,6 +87,7 @@
     private final Timers timers;
     private final LocalResponses localResponses;
     private final BodyReader bodyReader;
+    private final CallAuthenticator authenticator;
     private final ShutdownAdmission shutdownAdmission;
     private final Forwarder forwarder;
     private final DemandReporter demandReporter;
@@ -117,6 +120,7 @@
         this.ready = Objects.requireNonNull(ready, "ready");
         this.clock = context.clock;
         this.random = context.random;
+        this.authenticator = context.authenticator;
         this.callerConnections = new CallerConnections(() -> limits().idleTimeout(), context.clock, context.timers);
         this.stallDetector = new StallDetector(context.clock, context.timers);
         this.timers = context.timers;
@@ -275,11 +279,25 @@
             localResponses.sendError(request, LocalResponses.NOT_FOUND, "no matching route");
             return;
         }
+        CallAuthenticator.Result caller = authenticator.authenticate(currentConfig, route.get(), head.apiKey());
+        if (caller.refusal().isPresent()) {
+            refuse(request, head, caller.refusal().get());
+            return;
+        }
         bodyReader.read(
                 request,
                 currentConfig.limits().maxBodyBytes(),
                 route.get().timeout(),
-                new BodyListener(request, head, currentConfig, route.get(), arrivalMillis));
+                new BodyListener(request, head, currentConfig, route.get(), caller.team(), arrivalMillis));
+    }
+
+    private void refuse(HttpServerRequest request, CallHead head, CallAuthenticator.Refusal refusal) {
+        LogEvent.CALL_REFUSED.logForCall(head.id(), refusal.code(), "not-run", refusal.reason());
+        if (refusal.retryAfterMillis() > 0) {
+            localResponses.sendRetryable(request, refusal.status(), refusal.reason(), refusal.retryAfterMillis());
+        } else {
+            localResponses.sendError(request, refusal.status(), refusal.reason());
+        }
     }
 
     private void forward(
@@ -287,6 +305,7 @@
             CallHead head,
             ServingConfig currentConfig,
             Route route,
+            Optional<Team> team,
             Buffer body,
             MemoryBudget.Reservation memory,
             long arrivalMillis) {
@@ -312,7 +331,7 @@
                 route,
                 service,
                 currentConfig.teams().isPresent(),
-                Optional.empty(),
+                team,
                 body,
                 memory,
                 arrivalMillis,
@@ -363,6 +382,7 @@
         private final CallHead head;
         private final ServingConfig currentConfig;
         private final Route route;
+        private final Optional<Team> team;
         private final long arrivalMillis;
 
         BodyListener(
@@ -370,17 +390,19 @@
                 CallHead head,
                 ServingConfig currentConfig,
                 Route route,
+                Optional<Team> team,
                 long arrivalMillis) {
             this.request = request;
             this.head = head;
             this.currentConfig = currentConfig;
             this.route = route;
+            this.team = team;
             this.arrivalMillis = arrivalMillis;
         }
 
         @Override
         public void onComplete(Buffer body, MemoryBudget.Reservation memory) {
-            forward(request, head, currentConfig, route, body, memory, arrivalMillis);
+            forward(request, head, currentConfig, route, team, body, memory, arrivalMillis);
         }
 
         @Override
@@ -425,6 +447,7 @@
      * @param timers schedules timeouts and periodic reports, not null
      * @param random returns random numbers from 0 to 1, not null
      * @param metrics records metrics of calls, not null
+     * @param authenticator finds the team of each call, not null
      */
     public record Context(
             Vertx vertx,
@@ -441,5 +464,6 @@
             MonotonicClock clock,
             Timers timers,
             DoubleSupplier random,
-            GatewayMetrics metrics) {}
+            GatewayMetrics metrics,
+            CallAuthenticator authenticator) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LocalResponses.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LocalResponses.java
@@ -39,12 +39,25 @@
      * @param retryAfterMillis the value of the {@code Retry-After} header in milliseconds; the header is in seconds
      */
     void sendUnavailable(HttpServerRequest request, String reason, long retryAfterMillis) {
+        sendRetryable(request, UNAVAILABLE, reason, retryAfterMillis);
+    }
+
+    /**
+     * Sends an error response for a call that has not run and may be sent again later. Does nothing if the response has
+     * ended.
+     *
+     * @param request the caller's request, not null
+     * @param status the HTTP status code
+     * @param reason the response body, not null
+     * @param retryAfterMillis the value of the {@code Retry-After} header in milliseconds; the header is in seconds
+     */
+    void sendRetryable(HttpServerRequest request, int status, String reason, long retryAfterMillis) {
         HttpServerResponse response = request.response();
         if (response.ended() || response.closed()) {
             return;
         }
         response.putHeader("Retry-After", String.format(Locale.ROOT, "%.2f", retryAfterMillis / MILLIS_PER_SECOND));
-        sendError(request, UNAVAILABLE, reason);
+        sendError(request, status, reason);
     }
 
     /**
