Tell replicas the urgency of calls where the configuration has teams

Cause: a call's priority ordered only the calls that wait at one entry; replicas got the default for all of them.

Forwarder passes the urgency on; without teams none is sent, as before.

The whole path from a key to the header is not tested here, as no component reads teams from the configuration yet.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -21,6 +21,7 @@
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.fairness.CallFairness;
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
@@ -149,7 +150,8 @@
                         context.catalog,
                         clock,
                         context.timers,
-                        (service, model) -> config.get().flatMap(current -> current.findModel(service, model))));
+                        (service, model) -> config.get().flatMap(current -> current.findModel(service, model))),
+                context.fairness);
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
@@ -421,6 +423,7 @@
      * @param servingVersions knows which software versions may have begun streams, not null
      * @param processCheck asks a replica whether it still runs the known process; never fails, not null
      * @param leavingReplicas receives the announcements of replicas that are about to shut down, not null
+     * @param fairness decides about calls when capacity is insufficient, not null
      * @param clock the monotonic clock, not null
      * @param timers schedules timeouts and periodic reports, not null
      * @param random returns random numbers from 0 to 1, not null
@@ -438,6 +441,7 @@
             ServingVersions servingVersions,
             Function<ReplicaState, CompletableFuture<Boolean>> processCheck,
             LeavingReplicas leavingReplicas,
+            CallFairness fairness,
             MonotonicClock clock,
             Timers timers,
             DoubleSupplier random,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -13,6 +13,7 @@
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.call.CallerIdentity;
 import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.fairness.FairCall;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
@@ -41,6 +42,8 @@
     final boolean teamsConfigured;
     /** The team that holds the caller's key, empty for an anonymous call or if the configuration has no teams. */
     final Optional<Team> team;
+    /** What decides about the call when capacity is insufficient, empty if the configuration has no teams. */
+    final Optional<FairCall> fairCall;
 
     final Buffer body;
     /** The memory of the body, to be released when the call ends. */
@@ -113,6 +116,17 @@
         this.arrivalMillis = arrivalMillis;
         this.deadlineMillis = deadlineMillis;
         this.firstEventDeadlineMillis = firstEventDeadlineMillis;
+        this.fairCall = teamsConfigured
+                ? Optional.of(new FairCall(
+                        team,
+                        route,
+                        service,
+                        weights,
+                        head.tokenCount(),
+                        arrivalMillis,
+                        deadlineMillis,
+                        firstEventDeadlineMillis))
+                : Optional.empty();
     }
 
     /** Returns what the replicas are told about the caller. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -7,19 +7,17 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.RequestOptions;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.gateway.call.CallCodec;
-import org.tarragonring.gateway.call.ReplicaRequestHead;
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.fairness.CallFairness;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
 import org.tarragonring.ids.SoftwareVersion;
@@ -57,7 +55,6 @@
 
     private static final String VERSION_NOT_RECORDED = "the software version of the replicas could not be recorded";
 
-    private final CallCodec codec;
     private final ReplicaCatalog catalog;
     private final ReplicaSelector selector;
     private final HttpClientAgent client;
@@ -70,6 +67,8 @@
     private final LocalResponses localResponses;
     private final WaitingCalls waiting = new WaitingCalls();
     private final LoadExpectation loadExpectation;
+    private final CallFairness fairness;
+    private final ReplicaRequests requests;
     private final StreamResumption resumption;
     private final GatewayMetrics metrics;
     private final CallDurationEstimator durationEstimator;
@@ -98,6 +97,7 @@
      * @param resumption keeps streams at the software version that began them, not null
      * @param metrics records metrics of calls, not null
      * @param loadExpectation decides how long calls wait for a load, not null
+     * @param fairness decides how urgent calls are, not null
      */
     Forwarder(
             CallCodec codec,
@@ -115,8 +115,8 @@
             MemoryBudget memory,
             StreamResumption resumption,
             GatewayMetrics metrics,
-            LoadExpectation loadExpectation) {
-        this.codec = Objects.requireNonNull(codec, "codec");
+            LoadExpectation loadExpectation,
+            CallFairness fairness) {
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.client = Objects.requireNonNull(client, "client");
         this.budgets = Objects.requireNonNull(budgets, "budgets");
@@ -131,6 +131,8 @@
         this.durationEstimator = new CallDurationEstimator(clock);
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
         this.loadExpectation = Objects.requireNonNull(loadExpectation, "loadExpectation");
+        this.fairness = Objects.requireNonNull(fairness, "fairness");
+        this.requests = new ReplicaRequests(codec, fairness, clock);
         this.context = new Attempt.Context(
                 codec,
                 ejections,
@@ -177,6 +179,7 @@
     /** Starts forwarding a call whose body is complete. */
     void accept(Exchange exchange) {
         calls.add(exchange);
+        fairness.admit(exchange.fairCall);
         budgets.onCall(exchange.service);
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
         scheduleTimeout(exchange, exchange.deadlineMillis);
@@ -309,22 +312,8 @@
         metrics.recordWait(clock.millis() - exchange.arrivalMillis);
         exchange.replica = replica;
         exchange.attemptNumber++;
-        long remainingMillis = exchange.deadlineMillis - clock.millis();
-        RequestOptions options = new RequestOptions()
-                .setHost(replica.listed().address().host())
-                .setPort(replica.listed().address().port())
-                .setMethod(exchange.request.method())
-                .setURI(exchange.request.uri())
-                .setHeaders(codec.toReplica(
-                        exchange.request.headers(),
-                        new ReplicaRequestHead(
-                                replica.id(),
-                                Duration.ofMillis(remainingMillis),
-                                exchange.framer.lastId(),
-                                exchange.callerIdentity(),
-                                OptionalInt.empty())));
         int attemptNumber = exchange.attemptNumber;
-        client.request(options)
+        client.request(requests.create(exchange, replica))
                 .onFailure(failure -> onConnectFailed(exchange, replica, attemptNumber, failure))
                 .onSuccess(request -> onConnected(exchange, replica, attemptNumber, request));
     }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/config/ServingConfig.java
@@ -112,14 +112,22 @@
         return teams;
     }
 
+    /**
+     * Returns the routes of all hosts.
+     *
+     * @return the routes in no particular order, never null
+     */
+    public List<Route> routes() {
+        return routesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Returns how long a stream may last on any route.
      *
      * @return the longest timeout of the routes for streams, zero if there are none
      */
     public Duration longestStreamTimeout() {
-        return routesByHost.values().stream()
-                .flatMap(List::stream)
+        return routes().stream()
                 .filter(route -> route.kind() == RouteKind.STREAM)
                 .map(Route::timeout)
                 .max(Comparator.naturalOrder())
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/team/TeamDirectory.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/team/TeamDirectory.java
@@ -1,5 +1,7 @@
 package org.tarragonring.policy.team;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -46,4 +48,13 @@
     public Optional<Team> find(TeamName name) {
         return Optional.ofNullable(teams.get(name));
     }
+
+    /**
+     * Returns all teams that hold a key.
+     *
+     * @return the teams in no particular order, never null
+     */
+    public Collection<Team> teams() {
+        return Collections.unmodifiableCollection(teams.values());
+    }
 }
