Order waiting calls by the urgency of team and route, and one in four by age

Cause: calls that waited for the same weights were sent by the priority of their route, then by objective. A team with many calls got the places of the others, and long calls came last as long as short ones arrived.

Change: where the configuration has teams, WaitingOrder orders them by the urgency that replicas are told, then by objective; every fourth is the one that arrived first. Without teams the order is as before.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
@@ -6,17 +6,19 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.tarragonring.policy.config.Route;
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.fairness.PriorityScale;
 import org.tarragonring.policy.fairness.TeamExcess;
+import org.tarragonring.policy.fairness.WaitingOrder;
 import org.tarragonring.policy.team.Team;
 import org.tarragonring.policy.team.TeamDirectory;
 
 /**
- * Decides for the calls of this entry how urgent they are. Calls that arrived while the configuration had no teams, for which
+ * Decides for the calls of this entry how urgent they are, and in which order they are sent. Calls that arrived while the configuration had no teams, for which
  * the argument is empty, are treated as if this class did not exist.
  *
  * <p>Not thread-safe.
@@ -71,6 +73,27 @@
         return scale().urgency(teamPriority, call.route.priority(), isDemoted);
     }
 
+    /**
+     * Orders calls that waited for the same weights.
+     *
+     * @param <T> the type of the calls
+     * @param calls the calls in another order, which they keep unless all of them arrived while there were teams; not null
+     * @param properties returns the properties of a call, not null
+     * @return the calls, the first to be sent first
+     */
+    public <T> List<T> order(List<T> calls, Function<T, Optional<FairCall>> properties) {
+        if (calls.stream().anyMatch(call -> properties.apply(call).isEmpty())) {
+            return calls;
+        }
+        return WaitingOrder.order(
+                calls, call -> toWaitingCall(properties.apply(call).get()));
+    }
+
+    private WaitingOrder.WaitingCall toWaitingCall(FairCall call) {
+        long objectiveMillis = call.route.latencyObjective().toMillis();
+        return new WaitingOrder.WaitingCall(urgency(call), call.arrivalMillis + objectiveMillis, call.arrivalMillis);
+    }
+
     private boolean isDemoted(FairCall call) {
         return call.team
                 .map(team -> excess.isDemoted(team.name(), call.position))
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -65,7 +65,7 @@
     private final Timers timers;
     private final CallerConnections callerConnections;
     private final LocalResponses localResponses;
-    private final WaitingCalls waiting = new WaitingCalls();
+    private final WaitingCalls waiting;
     private final LoadExpectation loadExpectation;
     private final CallFairness fairness;
     private final ReplicaRequests requests;
@@ -132,6 +132,7 @@
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
         this.loadExpectation = Objects.requireNonNull(loadExpectation, "loadExpectation");
         this.fairness = Objects.requireNonNull(fairness, "fairness");
+        this.waiting = new WaitingCalls(fairness);
         this.requests = new ReplicaRequests(codec, fairness, clock);
         this.context = new Attempt.Context(
                 codec,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/WaitingCalls.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/WaitingCalls.java
@@ -6,15 +6,22 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.fairness.CallFairness;
 
 /** The calls that wait until the weights they need are resident on a replica. Not thread-safe. */
 final class WaitingCalls {
 
+    private final CallFairness fairness;
     private final Map<WeightKey, Set<Exchange>> callsByKey = new HashMap<>();
 
+    WaitingCalls(CallFairness fairness) {
+        this.fairness = Objects.requireNonNull(fairness, "fairness");
+    }
+
     void add(Exchange exchange) {
         callsByKey
                 .computeIfAbsent(exchange.weights.orElseThrow(), key -> new LinkedHashSet<>())
@@ -33,7 +40,10 @@
         return exchange.weights.map(key -> waitingFor(key).contains(exchange)).orElse(false);
     }
 
-    /** Removes and returns the calls that wait for the given weights, ordered by priority, then by objective. */
+    /**
+     * Removes and returns the calls that wait for the given weights, ordered by priority, then by objective; by fairness where
+     * the configuration has teams.
+     */
     List<Exchange> removeAll(WeightKey key) {
         Set<Exchange> waiting = callsByKey.remove(key);
         if (waiting == null) {
@@ -43,7 +53,7 @@
         ordered.sort(Comparator.comparingInt((Exchange e) -> e.route.priority())
                 .thenComparingLong(
                         e -> e.arrivalMillis + e.route.latencyObjective().toMillis()));
-        return ordered;
+        return fairness.order(ordered, exchange -> exchange.fairCall);
     }
 
     /** Returns a copy of the set of weights for which calls wait. */
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/CallFairnessTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/CallFairnessTest.java
@@ -61,6 +61,22 @@
         assertEquals(4, urgency(SECOND, QUERIES));
     }
 
+    // Guards against deployments without teams whose waiting calls are sent in another order than before.
+    @Test
+    void callsWithoutTeamsKeepTheirOrder() {
+        List<Optional<FairCall>> calls = List.of(call(Optional.of(SECOND), QUERIES), Optional.empty());
+
+        assertEquals(calls, fairness.order(calls, call -> call));
+    }
+
+    @Test
+    void waitingCallsAreOrderedByTeamThenRoute() {
+        Optional<FairCall> first = call(Optional.of(FIRST), BRIEFS);
+        Optional<FairCall> second = call(Optional.of(SECOND), QUERIES);
+
+        assertEquals(List.of(first, second), fairness.order(List.of(second, first), call -> call));
+    }
+
     @Test
     void sizeOfACallIsBoundedAndHasADefault() {
         assertEquals(1_000_000, sized(FIRST, Optional.of(new TokenCount(Long.MAX_VALUE, 1))));
