Share the use of teams between entries and time the retries of refused callers

Cause: an entry sees about one in eighty calls of a team, so that none knew which team exceeds its share. Calls were held although it was known that they could not be served in time, and their callers came back at one moment.

Refusals tell the expected end of the load or of the wait, plus a slot. A call that all replicas reject is refused when its next try, or the observed wait, comes too late; a call for a model that neither a local checkpoint nor a new load from the weight store can serve in time is refused within 150 ms instead of 300 ms or more. Metrics by team and of the time to refusal, log events TRNG000727 to 729. Without teams nothing changes.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -171,6 +171,17 @@
     CALL_QUARANTINED(715, Logger.Level.INFO, "request %s is quarantined for %s ms more"),
     /** A call was refused because a part of its prompt is quarantined. */
     CALL_WITH_QUARANTINED_PART(717, Logger.Level.INFO, "prompt part %s, fingerprint %s, is quarantined for %s ms more"),
+    /** A shortage of capacity for the calls of teams began or ended; logged by the share coordinator. */
+    CAPACITY_SHORTAGE(
+            727, Logger.Level.INFO, "shortage of capacity=%s, no capacity for %s of about %s calls of teams in %s ms"),
+    /** The shares of teams were dropped, as the share coordinator has not repeated them. */
+    TEAM_SHARES_EXPIRED(
+            728,
+            Logger.Level.WARN,
+            "no shares of teams from coordinator %s for %s ms during a shortage, all teams count as equal"),
+    /** A team uses more than its fair share during a shortage; logged by the share coordinator. */
+    TEAM_ABOVE_SHARE(
+            729, Logger.Level.INFO, "team %s uses %s times its share, calls beyond the share have a lower urgency"),
     /** An unexpected failure was caught. */
     UNEXPECTED_FAILURE(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
     /** An invariant was violated. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -19,7 +19,6 @@
 import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
-import org.tarragonring.gateway.fairness.CallFairness;
 import org.tarragonring.gateway.follow.StoreWatcher;
 import org.tarragonring.gateway.forward.CallServer;
 import org.tarragonring.gateway.mesh.Mesh;
@@ -43,7 +42,6 @@
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.budget.RetryBudgets;
 import org.tarragonring.policy.config.ServingConfig;
-import org.tarragonring.policy.fairness.TeamExcess;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.service.ShutdownSequence;
@@ -331,7 +329,6 @@
                 servingVersions,
                 this::runsKnownProcess,
                 leavingReplicas,
-                new CallFairness(this::config, new TeamExcess(clocks.monotonic()), random::nextDouble),
                 clocks.monotonic(),
                 timers,
                 random::nextDouble,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/FairCall.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/FairCall.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.tarragonring.gateway.call.TokenCount;
 import org.tarragonring.gateway.call.WeightKey;
@@ -41,6 +42,12 @@
     /** Whether the call was counted as one for which there was no capacity, which happens once. */
     boolean lacksCapacity;
 
+    /** Since when the call waits for capacity, on the monotonic clock; empty if it has not waited. */
+    OptionalLong waitingSinceMillis = OptionalLong.empty();
+
+    /** Whether a replica has begun to respond. */
+    boolean served;
+
     /** Whether an attempt was sent with a lower urgency because of the excess of the team. */
     boolean wasDemoted;
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -21,7 +21,7 @@
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
-import org.tarragonring.gateway.fairness.CallFairness;
+import org.tarragonring.gateway.fairness.FairnessService;
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
@@ -87,6 +87,7 @@
     private final LocalResponses localResponses;
     private final BodyReader bodyReader;
     private final ShutdownAdmission shutdownAdmission;
+    private final FairnessService fairness;
     private final Forwarder forwarder;
     private final DemandReporter demandReporter;
     private HttpServer server;
@@ -129,6 +130,8 @@
                 .setKeepAlive(false)
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                 .setDecompressionSupported(false);
+        this.fairness =
+                new FairnessService(context.mesh, config, context.catalog, context.metrics, clock, timers, random);
         this.forwarder = new Forwarder(
                 codec,
                 context.catalog,
@@ -151,7 +154,7 @@
                         clock,
                         context.timers,
                         (service, model) -> config.get().flatMap(current -> current.findModel(service, model))),
-                context.fairness);
+                fairness.calls());
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
@@ -177,6 +180,7 @@
         server = vertx.createHttpServer(options)
                 .connectionHandler(callerConnections::onOpened)
                 .requestHandler(this::onRequest);
+        fairness.start();
         demandReporter.start();
         callerConnections.start();
         stallDetector.start();
@@ -192,6 +196,7 @@
      * @return a future that completes when all connections are closed
      */
     public CompletableFuture<Void> stop() {
+        fairness.stop();
         demandReporter.stop();
         callerConnections.stop();
         stallDetector.stop();
@@ -423,7 +428,6 @@
      * @param servingVersions knows which software versions may have begun streams, not null
      * @param processCheck asks a replica whether it still runs the known process; never fails, not null
      * @param leavingReplicas receives the announcements of replicas that are about to shut down, not null
-     * @param fairness decides about calls when capacity is insufficient, not null
      * @param clock the monotonic clock, not null
      * @param timers schedules timeouts and periodic reports, not null
      * @param random returns random numbers from 0 to 1, not null
@@ -441,7 +445,6 @@
             ServingVersions servingVersions,
             Function<ReplicaState, CompletableFuture<Boolean>> processCheck,
             LeavingReplicas leavingReplicas,
-            CallFairness fairness,
             MonotonicClock clock,
             Timers timers,
             DoubleSupplier random,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -68,6 +68,7 @@
     private final WaitingCalls waiting;
     private final LoadExpectation loadExpectation;
     private final CallFairness fairness;
+    private final AvailabilityCheck availabilityCheck;
     private final ReplicaRequests requests;
     private final StreamResumption resumption;
     private final GatewayMetrics metrics;
@@ -132,6 +133,7 @@
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
         this.loadExpectation = Objects.requireNonNull(loadExpectation, "loadExpectation");
         this.fairness = Objects.requireNonNull(fairness, "fairness");
+        this.availabilityCheck = new AvailabilityCheck(catalog, fairness);
         this.waiting = new WaitingCalls(fairness);
         this.requests = new ReplicaRequests(codec, fairness, clock);
         this.context = new Attempt.Context(
@@ -240,31 +242,33 @@
         } else if (recording.isPresent()) {
             recording.get().thenAccept(isRecorded -> dispatchOrRefuse(exchange, isRecorded, VERSION_NOT_RECORDED));
         } else if (selection.isAnyEligible()) {
-            exchange.failedReplicas.clear();
-            timers.schedule(exchange.nextBackoff(), () -> dispatch(exchange));
+            backOff(exchange, timeoutAtMillis);
         } else {
             waitOrRefuse(exchange);
         }
     }
 
-    /** Lets a call wait for a replica that can run it, or refuses it if it is known that none will be able to. */
-    private void waitOrRefuse(Exchange exchange) {
-        Optional<Duration> pause = catalog.pause(exchange.service);
-        if (pause.isPresent()) {
-            refuse(
-                    exchange,
-                    "all replicas of the service ask for a pause",
-                    pause.get().toMillis());
-        } else if (exchange.hasBegun()
-                && catalog.usable(exchange.service).stream().noneMatch(exchange::isContinuedBy)) {
-            refuse(exchange, "no replica that can continue the stream is available");
-        } else if (exchange.weights.isPresent()) {
-            startWaiting(exchange);
+    /** Sends a call again after a delay, as all replicas have rejected it, unless that will be too late. */
+    private void backOff(Exchange exchange, long timeoutAtMillis) {
+        exchange.failedReplicas.clear();
+        Duration delay = exchange.nextBackoff();
+        fairness.onNoRoom(exchange.fairCall);
+        if (fairness.isTooLate(exchange.fairCall, delay, timeoutAtMillis - MIN_REMAINING_MILLIS)) {
+            refuse(exchange, "no replica will have room in time");
         } else {
-            refuse(exchange, "no available replica of service %s".formatted(exchange.service));
+            timers.schedule(delay, () -> dispatch(exchange));
         }
     }
 
+    /** Lets a call wait for a replica that can run it, or refuses it if it is known that none will be able to. */
+    private void waitOrRefuse(Exchange exchange) {
+        availabilityCheck
+                .refusal(exchange, DEFAULT_RETRY_AFTER_MILLIS)
+                .ifPresentOrElse(
+                        refusal -> refuse(exchange, refusal.reason(), refusal.retryAfterMillis()),
+                        () -> startWaiting(exchange));
+    }
+
     /**
      * Refuses all waiting calls, and from now on all calls that would have to wait. This entry no longer learns when a
      * load completes, but other entries do.
@@ -295,6 +299,7 @@
             return;
         }
         waiting.add(exchange);
+        fairness.onWaiting(exchange.fairCall);
         if (!exchange.loadCheckScheduled) {
             exchange.loadCheckScheduled = true;
             loadExpectation.scheduleChecks(exchange, waiting::contains, reason -> refuse(exchange, reason));
@@ -410,7 +415,7 @@
     }
 
     private void refuse(Exchange exchange, String reason) {
-        refuse(exchange, reason, DEFAULT_RETRY_AFTER_MILLIS);
+        refuse(exchange, reason, fairness.refuse(exchange.fairCall, DEFAULT_RETRY_AFTER_MILLIS));
     }
 
     /** Ends a call that is not sent to a replica again, as not run unless an earlier attempt may have run. */
@@ -451,17 +456,20 @@
             activeRequest.connection().close();
         }
         metrics.recordCall(exchange.route.name(), outcome, clock.millis() - exchange.arrivalMillis);
+        fairness.onEnded(exchange.fairCall, outcome, status == LocalResponses.UNAVAILABLE);
         LocalResponses.logCallEnded(exchange, clock.millis(), status, outcome, reason);
     }
 
     @Override
     public void onCompleted(Exchange exchange, int status, String reason) {
+        fairness.onServed(exchange.fairCall);
         finish(exchange, status, "answered", reason);
     }
 
     @Override
     public void onFirstEvent(Exchange exchange, ReplicaProcess process) {
         resumption.onFirstEvent(exchange, process);
+        fairness.onServed(exchange.fairCall);
         metrics.recordFirstEvent(clock.millis() - exchange.arrivalMillis);
         scheduleTimeout(exchange, exchange.deadlineMillis);
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
 import org.tarragonring.gateway.call.WeightKey;
@@ -30,6 +31,12 @@
     /** The fraction of the first-event timeout after which a waiting call is refused unless a load is in progress. */
     private static final double MAX_WAIT_FRACTION = 0.45;
 
+    /**
+     * How often it is checked, where the configuration has teams, whether no load can serve a waiting call. A period of the
+     * planner and the delays of its messages: calls that are refused earlier are not seen to wait, and nothing is loaded.
+     */
+    private static final Duration EARLY_CHECK_PERIOD = Duration.ofMillis(150);
+
     /** The shortest time from the end of a model's load to the first event of a call. */
     private static final long MIN_LOAD_TO_FIRST_EVENT_MILLIS = 100;
 
@@ -59,6 +66,25 @@
     void scheduleChecks(Exchange exchange, Predicate<Exchange> isWaiting, Consumer<String> refuse) {
         scheduleCheck(exchange, firstCheckDelay(exchange), isWaiting.and(call -> !canBeServed(call)), refuse);
         scheduleCheck(exchange, lastCheckDelay(exchange), isWaiting.and(call -> !isLoadExpected(call)), refuse);
+        if (exchange.fairCall.isPresent()) {
+            scheduleEarlyChecks(exchange, isWaiting, refuse);
+        }
+    }
+
+    private void scheduleEarlyChecks(Exchange exchange, Predicate<Exchange> isWaiting, Consumer<String> refuse) {
+        scheduleCheck(exchange, EARLY_CHECK_PERIOD, isWaiting.and(this::isTooLateForAnyLoad), refuse);
+        timers.schedule(EARLY_CHECK_PERIOD, () -> {
+            if (isWaiting.test(exchange)) {
+                scheduleEarlyChecks(exchange, isWaiting, refuse);
+            }
+        });
+    }
+
+    /** Returns whether neither a replica can have loaded the model of a call in time, nor a new load from the weight store. */
+    boolean isTooLateForAnyLoad(Exchange exchange) {
+        long storeLoadMillis = loadMillis(exchange, ModelSpec::storeLoadTime);
+        long latestMillis = exchange.firstEventDeadlineMillis - MIN_LOAD_TO_FIRST_EVENT_MILLIS;
+        return clock.millis() + storeLoadMillis > latestMillis && !canBeServed(exchange);
     }
 
     private void scheduleCheck(
@@ -135,9 +161,13 @@
     }
 
     private long swapMillis(Exchange exchange) {
+        return loadMillis(exchange, ModelSpec::diskLoadTime);
+    }
+
+    private long loadMillis(Exchange exchange, Function<ModelSpec, Duration> loadTime) {
         return exchange.weights
                 .flatMap(key -> modelSpec.apply(key.service(), key.model()))
-                .map(spec -> spec.diskLoadTime().toMillis())
+                .map(spec -> loadTime.apply(spec).toMillis())
                 .orElse(0L);
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
@@ -210,6 +210,15 @@
         return table.find(id).map(Member::isUsable).orElse(false);
     }
 
+    /**
+     * Returns the id of this entry.
+     *
+     * @return the id, never null
+     */
+    public EntryId self() {
+        return settings.id();
+    }
+
     /**
      * Selects the entry responsible for a duty by rendezvous hashing, among the entries that reach the store if there
      * are any.
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
@@ -40,6 +40,15 @@
         this.registry = Objects.requireNonNull(registry, "registry");
     }
 
+    /**
+     * Returns the registry for the metrics of a part of the gateway that has its own.
+     *
+     * @return the registry that holds the meters, never null
+     */
+    public MeterRegistry registry() {
+        return registry;
+    }
+
     /**
      * Records a call that has ended.
      *
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -35,6 +35,7 @@
     private static final ModelName MODEL = new ModelName("m1");
     private static final UpstreamId REPLICA = new UpstreamId("r1");
 
+    private Duration storeLoadTime = Duration.ofSeconds(13);
     private long nowMillis = 10_000;
     private final MonotonicClock clock = () -> nowMillis * MonotonicClock.NANOS_PER_MILLI;
     private final ReplicaCatalog catalog = new ReplicaCatalog(clock, new Ejections(clock));
@@ -42,8 +43,8 @@
             catalog,
             clock,
             (delay, action) -> () -> {},
-            (service, model) -> Optional.of(new ModelSpec(
-                    model, 60, 0.5, Duration.ofSeconds(13), Duration.ofMillis(800), Duration.ofMillis(400))));
+            (service, model) -> Optional.of(
+                    new ModelSpec(model, 60, 0.5, storeLoadTime, Duration.ofMillis(800), Duration.ofMillis(400))));
 
     // Guards against calls that are held for half of their time although nothing is loaded for them.
     @Test
@@ -81,6 +82,27 @@
         assertFalse(expectation.isLoadExpected(exchange(Duration.ofMillis(2_500))));
     }
 
+    // Guards against calls of teams that are held although a load that ends in time is impossible.
+    @Test
+    void callIsTooLateIfNeitherACheckpointNorANewLoadCanServeIt() {
+        addReplica(Set.of());
+        assertTrue(expectation.isTooLateForAnyLoad(exchange(Duration.ofMillis(2_500))));
+
+        addReplica(Set.of(MODEL));
+        assertFalse(expectation.isTooLateForAnyLoad(exchange(Duration.ofMillis(2_500))));
+    }
+
+    // Guards against refusals of calls for which the weight store can still load their model.
+    @Test
+    void callWaitsWhileALoadFromTheStoreThatBeginsNowEndsInTime() {
+        storeLoadTime = Duration.ofSeconds(9);
+        addReplica(Set.of());
+
+        assertFalse(expectation.isTooLateForAnyLoad(exchange(Duration.ofMillis(2_500))));
+        nowMillis += 1_000;
+        assertTrue(expectation.isTooLateForAnyLoad(exchange(Duration.ofMillis(2_500), nowMillis - 1_000)));
+    }
+
     private void startLoad(long durationMillis) {
         addReplica(Set.of());
         ReplicaState replica = catalog.find(REPLICA).orElseThrow();
@@ -100,6 +122,10 @@
     }
 
     private Exchange exchange(Duration objective) {
+        return exchange(objective, nowMillis);
+    }
+
+    private Exchange exchange(Duration objective, long arrivalMillis) {
         Route route = new Route(
                 "quotes",
                 "host",
@@ -131,8 +157,8 @@
                 Optional.empty(),
                 null,
                 null,
-                nowMillis,
-                nowMillis + 15_000,
-                nowMillis + 10_000);
+                arrivalMillis,
+                arrivalMillis + 15_000,
+                arrivalMillis + 10_000);
     }
 }
