--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
@@ -107,6 +107,9 @@
     }
 
     private int urgency(FairCall call) {
+        if (excess.isReserved(call.team.map(Team::name), call.position)) {
+            return 0;
+        }
         boolean isDemoted = isDemoted(call);
         call.wasDemoted |= isDemoted;
         OptionalInt teamPriority =
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/ShareService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/ShareService.java
@@ -41,9 +41,12 @@
     /** The name of the duty from which all entries derive the share coordinator. */
     public static final String DUTY = "team-shares";
 
-    /** The minimum time between two reports of an entry. */
+    /** The minimum time between two reports of an entry, kept while there is a shortage. */
     static final Duration REPORT_PERIOD = Duration.ofMillis(500);
 
+    /** The time between two reports otherwise: the coordinator receives those of all entries. */
+    static final Duration CALM_REPORT_PERIOD = Duration.ofMillis(2_000);
+
     /** The time from a report to the evaluation, in which the reports of other entries arrive. */
     static final Duration EVALUATION_PERIOD = Duration.ofMillis(500);
 
@@ -76,7 +79,8 @@
     private long lastSharesMillis;
     private double meanCallTokens = DEFAULT_CALL_TOKENS;
     private boolean anyCallRecorded;
-    private boolean reportScheduled;
+    private Timers.Task nextReport = () -> {};
+    private long reportDueMillis = Long.MAX_VALUE;
     private boolean evaluationScheduled;
     private boolean stopped;
 
@@ -119,7 +123,7 @@
         meanCallTokens = Math.max(1, meanCallTokens);
         anyCallRecorded = true;
         totalsOf(team).tokens += tokens;
-        reportSoon(team);
+        reportSoon(team, false);
     }
 
     /**
@@ -129,23 +133,27 @@
      */
     public void recordLack(TeamName team) {
         totalsOf(team).refusedCalls++;
-        reportSoon(team);
+        reportSoon(team, true);
     }
 
     private Totals totalsOf(TeamName team) {
         return totals.computeIfAbsent(team, name -> new Totals());
     }
 
-    private void reportSoon(TeamName team) {
+    /** Reports the use of a team with that of others, earlier if there is too little capacity. */
+    private void reportSoon(TeamName team, boolean isShort) {
         unreported.add(team);
-        if (!reportScheduled && !stopped) {
-            reportScheduled = true;
-            timers.schedule(REPORT_PERIOD, this::report);
+        Duration delay = isShort || excess.isShortage() ? REPORT_PERIOD : CALM_REPORT_PERIOD;
+        long dueMillis = clock.millis() + delay.toMillis();
+        if (dueMillis < reportDueMillis && !stopped) {
+            nextReport.cancel();
+            reportDueMillis = dueMillis;
+            nextReport = timers.schedule(delay, this::report);
         }
     }
 
     private void report() {
-        reportScheduled = false;
+        reportDueMillis = Long.MAX_VALUE;
         if (stopped) {
             return;
         }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/fairness/TeamExcess.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/fairness/TeamExcess.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.tarragonring.ids.TeamName;
 import org.tarragonring.time.MonotonicClock;
@@ -21,6 +22,12 @@
     /** The age at which shares are dropped: the coordinator repeats them each second, and one message may be lost. */
     public static final long MAX_AGE_MILLIS = 2_000;
 
+    /**
+     * The part of the calls within the share that is not passed by more urgent ones. Each kind of call and each team is to be
+     * served at least a quarter as often as all calls: with half of all calls served, that is one in eight.
+     */
+    static final double RESERVED_FRACTION = 0.125;
+
     private final MonotonicClock clock;
     private Map<TeamName, Double> factors = Map.of();
     private boolean shortage;
@@ -90,4 +97,15 @@
     public boolean isDemoted(TeamName team, double position) {
         return position * factor(team) >= 1;
     }
+
+    /**
+     * Checks if a call is among those that keep its kind from starving while there is more demand for urgent calls than capacity.
+     *
+     * @param team the team, empty for an anonymous call; not null
+     * @param position the position of the call among those of its team, from 0 to 1; random, and the same at each check
+     * @return true for a fixed part of the calls within the share during a shortage
+     */
+    public boolean isReserved(Optional<TeamName> team, double position) {
+        return isShortage() && position * team.map(this::factor).orElse(1.0) < RESERVED_FRACTION;
+    }
 }
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/fairness/TeamExcessTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/fairness/TeamExcessTest.java
@@ -1,6 +1,7 @@
 package org.tarragonring.policy.fairness;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -53,6 +54,24 @@
         assertFalse(excess.isShortage());
     }
 
+    // Guards against kinds of calls that are never served while more urgent ones take all capacity.
+    @Test
+    void oneCallInEightOfEachTeamIsReservedDuringAShortage() {
+        assertEquals(0, reservedCalls(Optional.of(QUIET)));
+
+        excess.update(true, Map.of(LOUD, 5.0));
+
+        assertEquals(125, reservedCalls(Optional.of(QUIET)));
+        assertEquals(125, reservedCalls(Optional.empty()));
+        assertEquals(25, reservedCalls(Optional.of(LOUD)));
+    }
+
+    private int reservedCalls(Optional<TeamName> team) {
+        return (int) IntStream.range(0, 1_000)
+                .filter(i -> excess.isReserved(team, i / 1_000.0))
+                .count();
+    }
+
     private int normalCalls(TeamName team) {
         return (int) IntStream.range(0, 1_000)
                 .filter(i -> !excess.isDemoted(team, i / 1_000.0))
