--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/FairnessMetrics.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/FairnessMetrics.java
@@ -19,6 +19,18 @@
     /** The number of teams with metrics of their own; each has one for each outcome. */
     static final int MAX_TEAMS = 50;
 
+    /** Bucket bounds of the time to refusal, from an immediate one to the longest timeout of callers. */
+    private static final Duration[] REFUSAL_BUCKETS = {
+        Duration.ofMillis(10),
+        Duration.ofMillis(50),
+        Duration.ofMillis(200),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(10)
+    };
+
     private static final String OTHER_TEAMS = "other";
 
     private static final String ANONYMOUS = "anonymous";
@@ -44,11 +56,17 @@
         }
     }
 
+    /** Records the time in a histogram, which can be summed up over entries, and in the quantiles of this entry. */
     void recordRefusal(long durationMillis) {
+        Duration duration = Duration.ofMillis(durationMillis);
         Timer.builder("tarragonring.calls.refusal")
+                .serviceLevelObjectives(REFUSAL_BUCKETS)
+                .register(registry)
+                .record(duration);
+        Timer.builder("tarragonring.calls.refusal.quantiles")
                 .publishPercentiles(0.5, 0.99)
                 .register(registry)
-                .record(Duration.ofMillis(durationMillis));
+                .record(duration);
     }
 
     /** Returns the name of one of the first teams that had calls, and a common label for the others. */
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/FairnessMetricsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/FairnessMetricsTest.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.junit.jupiter.api.Test;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.TeamName;
@@ -14,6 +16,7 @@
 import org.tarragonring.policy.team.Team;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class FairnessMetricsTest {
 
@@ -49,6 +52,18 @@
         assertEquals(1, registry.get("tarragonring.calls.refusal").timer().count());
     }
 
+    // Guards against a time to refusal of which operators see only the sum.
+    @Test
+    void timeToRefusalIsPublishedWithQuantilesAndBuckets() {
+        PrometheusMeterRegistry published = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        FairnessMetrics publishedMetrics = new FairnessMetrics(published);
+        publishedMetrics.recordRefusal(300);
+        String text = published.scrape();
+
+        assertTrue(text.contains("tarragonring_calls_refusal_seconds_bucket{le=\"0.5\"} 1"), text);
+        assertTrue(text.contains("tarragonring_calls_refusal_quantiles_seconds{quantile=\"0.99\"}"), text);
+    }
+
     private double count(String team) {
         return registry.get("tarragonring.team.calls")
                 .tag("team", team)
