--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -21,6 +21,7 @@
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.fairness.FairnessService;
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
@@ -89,6 +90,7 @@
     private final BodyReader bodyReader;
     private final CallAuthenticator authenticator;
     private final ShutdownAdmission shutdownAdmission;
+    private final FairnessService fairness;
     private final Forwarder forwarder;
     private final DemandReporter demandReporter;
     private HttpServer server;
@@ -133,6 +135,8 @@
                 .setKeepAlive(false)
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                 .setDecompressionSupported(false);
+        this.fairness =
+                new FairnessService(context.mesh, config, context.catalog, context.metrics, clock, timers, random);
         this.forwarder = new Forwarder(
                 codec,
                 context.catalog,
@@ -154,7 +158,8 @@
                         context.catalog,
                         clock,
                         context.timers,
-                        (service, model) -> config.get().flatMap(current -> current.findModel(service, model))));
+                        (service, model) -> config.get().flatMap(current -> current.findModel(service, model))),
+                fairness.calls());
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
         this.demandReporter =
                 new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
@@ -180,6 +185,7 @@
         server = vertx.createHttpServer(options)
                 .connectionHandler(callerConnections::onOpened)
                 .requestHandler(this::onRequest);
+        fairness.start();
         demandReporter.start();
         callerConnections.start();
         stallDetector.start();
@@ -195,6 +201,7 @@
      * @return a future that completes when all connections are closed
      */
     public CompletableFuture<Void> stop() {
+        fairness.stop();
         demandReporter.stop();
         callerConnections.stop();
         stallDetector.stop();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -7,19 +7,17 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.RequestOptions;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.gateway.call.CallCodec;
-import org.tarragonring.gateway.call.ReplicaRequestHead;
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.fairness.CallFairness;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
 import org.tarragonring.ids.SoftwareVersion;
@@ -57,7 +55,6 @@
 
     private static final String VERSION_NOT_RECORDED = "the software version of the replicas could not be recorded";
 
-    private final CallCodec codec;
     private final ReplicaCatalog catalog;
     private final ReplicaSelector selector;
     private final HttpClientAgent client;
@@ -68,8 +65,11 @@
     private final Timers timers;
     private final CallerConnections callerConnections;
     private final LocalResponses localResponses;
-    private final WaitingCalls waiting = new WaitingCalls();
+    private final WaitingCalls waiting;
     private final LoadExpectation loadExpectation;
+    private final CallFairness fairness;
+    private final AvailabilityCheck availabilityCheck;
+    private final ReplicaRequests requests;
     private final StreamResumption resumption;
     private final GatewayMetrics metrics;
     private final CallDurationEstimator durationEstimator;
@@ -98,6 +98,7 @@
      * @param resumption keeps streams at the software version that began them, not null
      * @param metrics records metrics of calls, not null
      * @param loadExpectation decides how long calls wait for a load, not null
+     * @param fairness decides how urgent calls are, not null
      */
     Forwarder(
             CallCodec codec,
@@ -115,8 +116,8 @@
             MemoryBudget memory,
             StreamResumption resumption,
             GatewayMetrics metrics,
-            LoadExpectation loadExpectation) {
-        this.codec = Objects.requireNonNull(codec, "codec");
+            LoadExpectation loadExpectation,
+            CallFairness fairness) {
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.client = Objects.requireNonNull(client, "client");
         this.budgets = Objects.requireNonNull(budgets, "budgets");
@@ -131,6 +132,10 @@
         this.durationEstimator = new CallDurationEstimator(clock);
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
         this.loadExpectation = Objects.requireNonNull(loadExpectation, "loadExpectation");
+        this.fairness = Objects.requireNonNull(fairness, "fairness");
+        this.availabilityCheck = new AvailabilityCheck(catalog, fairness);
+        this.waiting = new WaitingCalls(fairness);
+        this.requests = new ReplicaRequests(codec, fairness, clock);
         this.context = new Attempt.Context(
                 codec,
                 ejections,
@@ -177,6 +182,7 @@
     /** Starts forwarding a call whose body is complete. */
     void accept(Exchange exchange) {
         calls.add(exchange);
+        fairness.admit(exchange.fairCall);
         budgets.onCall(exchange.service);
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
         scheduleTimeout(exchange, exchange.deadlineMillis);
@@ -236,31 +242,33 @@
         } else if (recording.isPresent()) {
             recording.get().thenAccept(isRecorded -> dispatchOrRefuse(exchange, isRecorded, VERSION_NOT_RECORDED));
         } else if (selection.isAnyEligible()) {
-            exchange.failedReplicas.clear();
-            timers.schedule(exchange.nextBackoff(), () -> dispatch(exchange));
+            backOff(exchange, timeoutAtMillis);
         } else {
             waitOrRefuse(exchange);
         }
     }
 
-    /** Lets a call wait for a replica that can run it, or refuses it if it is known that none will be able to. */
-    private void waitOrRefuse(Exchange exchange) {
-        Optional<Duration> pause = catalog.pause(exchange.service);
-        if (pause.isPresent()) {
-            refuse(
-                    exchange,
-                    "all replicas of the service ask for a pause",
-                    pause.get().toMillis());
-        } else if (exchange.hasBegun()
-                && catalog.usable(exchange.service).stream().noneMatch(exchange::isContinuedBy)) {
-            refuse(exchange, "no replica that can continue the stream is available");
-        } else if (exchange.weights.isPresent()) {
-            startWaiting(exchange);
+    /** Sends a call again after a delay, as all replicas have rejected it, unless that will be too late. */
+    private void backOff(Exchange exchange, long timeoutAtMillis) {
+        exchange.failedReplicas.clear();
+        Duration delay = exchange.nextBackoff();
+        fairness.onNoRoom(exchange.fairCall);
+        if (fairness.isTooLate(exchange.fairCall, delay, timeoutAtMillis - MIN_REMAINING_MILLIS)) {
+            refuse(exchange, "no replica will have room in time");
         } else {
-            refuse(exchange, "no available replica of service %s".formatted(exchange.service));
+            timers.schedule(delay, () -> dispatch(exchange));
         }
     }
 
+    /** Lets a call wait for a replica that can run it, or refuses it if it is known that none will be able to. */
+    private void waitOrRefuse(Exchange exchange) {
+        availabilityCheck
+                .refusal(exchange, DEFAULT_RETRY_AFTER_MILLIS)
+                .ifPresentOrElse(
+                        refusal -> refuse(exchange, refusal.reason(), refusal.retryAfterMillis()),
+                        () -> startWaiting(exchange));
+    }
+
     /**
      * Refuses all waiting calls, and from now on all calls that would have to wait. This entry no longer learns when a
      * load completes, but other entries do.
@@ -291,6 +299,7 @@
             return;
         }
         waiting.add(exchange);
+        fairness.onWaiting(exchange.fairCall);
         if (!exchange.loadCheckScheduled) {
             exchange.loadCheckScheduled = true;
             loadExpectation.scheduleChecks(exchange, waiting::contains, reason -> refuse(exchange, reason));
@@ -309,22 +318,8 @@
         metrics.recordWait(clock.millis() - exchange.arrivalMillis);
         exchange.replica = replica;
         exchange.attemptNumber++;
-        long remainingMillis = exchange.deadlineMillis - clock.millis();
-        RequestOptions options = new RequestOptions()
-                .setHost(replica.listed().address().host())
-                .setPort(replica.listed().address().port())
-                .setMethod(exchange.request.method())
-                .setURI(exchange.request.uri())
-                .setHeaders(codec.toReplica(
-                        exchange.request.headers(),
-                        new ReplicaRequestHead(
-                                replica.id(),
-                                Duration.ofMillis(remainingMillis),
-                                exchange.framer.lastId(),
-                                exchange.callerIdentity(),
-                                OptionalInt.empty())));
         int attemptNumber = exchange.attemptNumber;
-        client.request(options)
+        client.request(requests.create(exchange, replica))
                 .onFailure(failure -> onConnectFailed(exchange, replica, attemptNumber, failure))
                 .onSuccess(request -> onConnected(exchange, replica, attemptNumber, request));
     }
@@ -420,7 +415,7 @@
     }
 
     private void refuse(Exchange exchange, String reason) {
-        refuse(exchange, reason, DEFAULT_RETRY_AFTER_MILLIS);
+        refuse(exchange, reason, fairness.refuse(exchange.fairCall, DEFAULT_RETRY_AFTER_MILLIS));
     }
 
     /** Ends a call that is not sent to a replica again, as not run unless an earlier attempt may have run. */
@@ -461,17 +456,20 @@
             activeRequest.connection().close();
         }
         metrics.recordCall(exchange.route.name(), outcome, clock.millis() - exchange.arrivalMillis);
+        fairness.onEnded(exchange.fairCall, outcome, status == LocalResponses.UNAVAILABLE);
         LocalResponses.logCallEnded(exchange, clock.millis(), status, outcome, reason);
     }
 
     @Override
     public void onCompleted(Exchange exchange, int status, String reason) {
+        fairness.onServed(exchange.fairCall);
         finish(exchange, status, "answered", reason);
     }
 
     @Override
     public void onFirstEvent(Exchange exchange, ReplicaProcess process) {
         resumption.onFirstEvent(exchange, process);
+        fairness.onServed(exchange.fairCall);
         metrics.recordFirstEvent(clock.millis() - exchange.arrivalMillis);
         scheduleTimeout(exchange, exchange.deadlineMillis);
     }
