Load a model with waiting calls a second time if that ends sooner

A load in progress hid its model from the planner.

A model with waiting calls is now planned again if a replica can have it resident from a local checkpoint at least 1 s sooner, and if the calls that wait and come meanwhile save more than the second load costs the calls of other models. While there is such a model, the queue with most to lose goes first; otherwise the order of the loads is as before. A call behind a load that ends too late is checked once more after its last check, when the sooner load must have been planned.

The computation of load options moves from PlacementPlanner to LoadOptions.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -144,6 +144,12 @@
     /** A request for a load was dropped because this entry does not hold the order lease or does not know the replica. */
     LOAD_REQUEST_MISDIRECTED(
             427, Logger.Level.INFO, "dropped load of model %s adapter \"%s\" on replica %s for entry %s: %s"),
+    /** A load was planned although another replica is loading the model, as that load ends later. */
+    LOAD_EXPECTATION_REPLACED(
+            428,
+            Logger.Level.INFO,
+            "planning a second load of model %s on replica %s within %s ms, the load in progress takes %s ms more, waiting"
+                    + " calls %s"),
     /** A serving configuration was activated. */
     SERVING_CONFIG_ACTIVATED(
             610,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -155,7 +155,8 @@
                 new DemandAggregator(clocks.monotonic()),
                 this::config,
                 clocks.monotonic(),
-                timers);
+                timers,
+                metrics);
         Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout());
         this.quarantine = new RequestQuarantine(
                 settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LoadExpectation.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
@@ -18,7 +20,8 @@
 import org.tarragonring.upstream.CheckpointTier;
 
 /**
- * Decides how long a call waits for its model or adapter before it is refused.
+ * Decides how long a call waits for its model or adapter before it is refused. Of several loads of a model that are in
+ * progress or possible, the one that ends first counts.
  *
  * <p>Not thread-safe.
  */
@@ -50,7 +53,8 @@
     }
 
     /**
-     * Checks a waiting call twice, and has it refused once it is known that it cannot be served.
+     * Checks a waiting call twice, and has it refused once it is known that it cannot be served. If a load in progress ends
+     * too late, and another replica can load the model in time, it is checked once more when that load has been planned.
      *
      * @param exchange the call
      * @param isWaiting returns whether it still waits
@@ -58,17 +62,48 @@
      */
     void scheduleChecks(Exchange exchange, Predicate<Exchange> isWaiting, Consumer<String> refuse) {
         scheduleCheck(exchange, firstCheckDelay(exchange), isWaiting.and(call -> !canBeServed(call)), refuse);
-        scheduleCheck(exchange, lastCheckDelay(exchange), isWaiting.and(call -> !isLoadExpected(call)), refuse);
+        timers.schedule(lastCheckDelay(exchange), () -> {
+            Predicate<Exchange> isRefused = isWaiting.and(call -> !isLoadExpected(call));
+            Duration delay = isRefused.test(exchange) ? soonerLoadDelay(exchange) : Duration.ZERO;
+            if (delay.isZero()) {
+                refuseIf(isRefused, exchange, refuse);
+            } else {
+                scheduleCheck(exchange, delay, isRefused, refuse);
+            }
+        });
     }
 
     private void scheduleCheck(
             Exchange exchange, Duration delay, Predicate<Exchange> isRefused, Consumer<String> refuse) {
-        timers.schedule(delay, () -> {
-            if (isRefused.test(exchange)) {
-                WeightKey key = exchange.weights.orElseThrow();
-                refuse.accept("no load in progress for model %s %s".formatted(key.model(), key.adapter()));
-            }
-        });
+        timers.schedule(delay, () -> refuseIf(isRefused, exchange, refuse));
+    }
+
+    private static void refuseIf(Predicate<Exchange> isRefused, Exchange exchange, Consumer<String> refuse) {
+        if (isRefused.test(exchange)) {
+            WeightKey key = exchange.weights.orElseThrow();
+            refuse.accept("no load in progress for model %s %s".formatted(key.model(), key.adapter()));
+        }
+    }
+
+    /**
+     * Returns how long a call behind a load that ends too late waits until a sooner load from a local checkpoint must have
+     * been planned.
+     *
+     * @return the time, zero if no load is in progress or no replica can load the model in time
+     */
+    Duration soonerLoadDelay(Exchange exchange) {
+        if (!anyReplica(exchange, (replica, key, latestMillis) -> isLoading(replica, key))) {
+            return Duration.ZERO;
+        }
+        WeightKey key = exchange.weights.orElseThrow();
+        long latestPlanMillis = latestMillis(exchange) - swapMillis(exchange);
+        OptionalLong plannedByMillis = replicas(exchange)
+                .filter(replica ->
+                        replica.nearestTier(key.model()) != CheckpointTier.REMOTE && !isLoading(replica, key))
+                .mapToLong(replica -> freeAtMillis(replica) + PLANNING_TIME.toMillis())
+                .filter(millis -> millis <= latestPlanMillis)
+                .min();
+        return plannedByMillis.isPresent() ? until(plannedByMillis.getAsLong()) : Duration.ZERO;
     }
 
     /**
@@ -99,10 +134,8 @@
         return exchange.responseStarted
                 || anyReplica(exchange, (replica, key, latestMillis) -> {
                     boolean hasCheckpoint = replica.nearestTier(key.model()) != CheckpointTier.REMOTE;
-                    long freeAtMillis =
-                            replica.loading().isPresent() ? replica.expectedLoadEndMillis() : clock.millis();
                     return isHeldOrLoadedBy(replica, key, latestMillis)
-                            || hasCheckpoint && freeAtMillis + swapMillis(exchange) <= latestMillis;
+                            || hasCheckpoint && freeAtMillis(replica) + swapMillis(exchange) <= latestMillis;
                 });
     }
 
@@ -116,17 +149,33 @@
 
     private boolean anyReplica(Exchange exchange, ReplicaCheck check) {
         WeightKey key = exchange.weights.orElseThrow();
-        long latestMillis = exchange.firstEventDeadlineMillis - MIN_LOAD_TO_FIRST_EVENT_MILLIS;
-        return catalog.serving(key.service()).stream()
+        long latestMillis = latestMillis(exchange);
+        return replicas(exchange).anyMatch(replica -> check.test(replica, key, latestMillis));
+    }
+
+    /** Returns the replicas that may run a call before it is too late. */
+    private Stream<ReplicaState> replicas(Exchange exchange) {
+        long latestMillis = latestMillis(exchange);
+        return catalog.serving(exchange.weights.orElseThrow().service()).stream()
                 .filter(exchange::isContinuedBy)
-                .filter(replica -> clock.millis() + replica.availability().pauseMillis() <= latestMillis)
-                .anyMatch(replica -> check.test(replica, key, latestMillis));
+                .filter(replica -> clock.millis() + replica.availability().pauseMillis() <= latestMillis);
+    }
+
+    private static long latestMillis(Exchange exchange) {
+        return exchange.firstEventDeadlineMillis - MIN_LOAD_TO_FIRST_EVENT_MILLIS;
+    }
+
+    private long freeAtMillis(ReplicaState replica) {
+        return replica.loading().isPresent() ? replica.expectedLoadEndMillis() : clock.millis();
+    }
+
+    private static boolean isLoading(ReplicaState replica, WeightKey key) {
+        return replica.loading().equals(Optional.of(key.model()));
     }
 
     private static boolean isHeldOrLoadedBy(ReplicaState replica, WeightKey key, long latestMillis) {
         return replica.holds(key.model(), "")
-                || replica.loading().equals(Optional.of(key.model()))
-                        && replica.expectedLoadEndMillis() <= latestMillis;
+                || isLoading(replica, key) && replica.expectedLoadEndMillis() <= latestMillis;
     }
 
     private long lastCheckMillis(Exchange exchange) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
@@ -78,6 +78,15 @@
         registry.counter("tarragonring.attempts.failed", "verdict", verdict).increment();
     }
 
+    /**
+     * Counts a load that this entry has planned.
+     *
+     * @param reason the reason for the load, not null
+     */
+    public void countPlannedLoad(String reason) {
+        registry.counter("tarragonring.loads.planned", "reason", reason).increment();
+    }
+
     /** Counts a call that ended because its request is quarantined. */
     public void countQuarantined() {
         registry.counter("tarragonring.calls.quarantined").increment();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -10,6 +10,7 @@
 
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.mesh.Mesh;
+import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.orders.OrderLeaseManager;
 import org.tarragonring.ids.EntryId;
@@ -20,6 +21,7 @@
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ServingConfig;
+import org.tarragonring.policy.placement.AggregateDemand;
 import org.tarragonring.policy.placement.PlacementPlanner;
 import org.tarragonring.policy.placement.PlannedLoad;
 import org.tarragonring.policy.placement.ReplicaSnapshot;
@@ -74,6 +76,7 @@
     private final Supplier<Optional<ServingConfig>> config;
     private final MonotonicClock clock;
     private final Timers timers;
+    private final GatewayMetrics metrics;
     private final Map<ServiceName, StoreLoadBudget> storeLoadBudgets = new HashMap<>();
     private final Map<ServiceName, StoreConcurrency> storeConcurrencies = new HashMap<>();
     private final PendingLoads pendingLoads;
@@ -93,6 +96,7 @@
      * @param config returns the active configuration, empty if there is none yet; not null
      * @param clock the monotonic clock, not null
      * @param timers runs periodic tasks, not null
+     * @param metrics counts the planned loads, not null
      */
     public PlanningService(
             EntryId self,
@@ -103,7 +107,8 @@
             DemandAggregator demandAggregator,
             Supplier<Optional<ServingConfig>> config,
             MonotonicClock clock,
-            Timers timers) {
+            Timers timers,
+            GatewayMetrics metrics) {
         this.self = Objects.requireNonNull(self, "self");
         this.mesh = Objects.requireNonNull(mesh, "mesh");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
@@ -113,6 +118,7 @@
         this.config = Objects.requireNonNull(config, "config");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.pendingLoads = new PendingLoads(clock);
     }
 
@@ -187,11 +193,15 @@
                 storeLoads.remaining(engine.maxStoreLoadsPerSecond()),
                 storeConcurrency(service).limit(),
                 catalog.isListSettled());
-        List<PlannedLoad> plannedLoads = new PlacementPlanner(engine).plan(snapshots(service), demand, limits);
+        List<ReplicaSnapshot> snapshots = snapshots(service);
+        List<PlannedLoad> plannedLoads = new PlacementPlanner(engine).plan(snapshots, demand, limits);
         plannedLoads.stream()
                 .filter(load -> load.tier() == CheckpointTier.REMOTE)
                 .forEach(load -> storeLoads.recordLoad());
-        plannedLoads.forEach(load -> startLoad(load, demand.of(load.model()).waitingCalls()));
+        plannedLoads.forEach(load -> {
+            logReason(load, demand.of(load.model()), snapshots);
+            startLoad(load, demand.of(load.model()).waitingCalls());
+        });
     }
 
     private StoreConcurrency storeConcurrency(ServiceName service) {
@@ -218,9 +228,27 @@
                 controllable);
     }
 
+    /** Logs why a load is planned that a load in progress would have prevented. */
+    private static void logReason(PlannedLoad load, AggregateDemand called, List<ReplicaSnapshot> snapshots) {
+        if (load.reason() == PlannedLoad.Reason.SOONER_CHECKPOINT) {
+            long remainingMillis = snapshots.stream()
+                    .filter(snapshot -> snapshot.pendingLoad().equals(Optional.of(load.model())))
+                    .mapToLong(ReplicaSnapshot::availableInMillis)
+                    .min()
+                    .orElse(0);
+            LogEvent.LOAD_EXPECTATION_REPLACED.log(
+                    load.model(),
+                    load.replicaId(),
+                    load.expectedDurationMillis(),
+                    remainingMillis,
+                    called.waitingCalls());
+        }
+    }
+
     private void startLoad(PlannedLoad load, int waitingCalls) {
         LogEvent.LOAD_PLANNED.log(
                 load.model(), load.replicaId(), load.evictions(), load.tier(), load.reason(), waitingCalls);
+        metrics.countPlannedLoad(load.reason().name());
         catalog.find(load.replicaId())
                 .ifPresent(replica -> pendingLoads.add(replica, load.model(), load.expectedDurationMillis()));
         loadRouter.route(new PeerMessage.LoadRequest(load.replicaId(), load.model(), "", load.evictions()));
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -1,6 +1,7 @@
 package org.tarragonring.gateway.forward;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,13 +36,23 @@
     private static final ModelName MODEL = new ModelName("m1");
     private static final UpstreamId REPLICA = new UpstreamId("r1");
 
-    private long nowMillis = 10_000;
+    private static final UpstreamId OTHER_REPLICA = new UpstreamId("r2");
+    private static final long START_MILLIS = 10_000;
+
+    /** The time of the last check: 45% of the first-event timeout of 10 s. */
+    private static final long LAST_CHECK_MILLIS = 4_500;
+
+    private long nowMillis = START_MILLIS;
+    private final List<Check> checks = new ArrayList<>();
     private final MonotonicClock clock = () -> nowMillis * MonotonicClock.NANOS_PER_MILLI;
     private final ReplicaCatalog catalog = new ReplicaCatalog(clock, new Ejections(clock));
     private final LoadExpectation expectation = new LoadExpectation(
             catalog,
             clock,
-            (delay, action) -> () -> {},
+            (delay, action) -> {
+                checks.add(new Check(nowMillis + delay.toMillis(), action));
+                return () -> {};
+            },
             (service, model) -> Optional.of(new ModelSpec(
                     model, 60, 0.5, Duration.ofSeconds(13), Duration.ofMillis(800), Duration.ofMillis(400))));
 
@@ -81,15 +92,71 @@
         assertFalse(expectation.isLoadExpected(exchange(Duration.ofMillis(2_500))));
     }
 
+    // Guards against calls that are refused by the slower of two loads of their model.
+    @Test
+    void callWaitsForTheFirstOfTwoLoads() {
+        startLoad(REPLICA, 17_000);
+        startLoad(OTHER_REPLICA, 1_500);
+
+        assertTrue(expectation.isLoadExpected(exchange(Duration.ofMillis(2_500))));
+    }
+
+    // Guards against calls that are refused just before the replica that has come back with their model loads it.
+    @Test
+    void callBehindSlowLoadWaitsUntilTheSoonerLoadIsPlanned() {
+        startLoad(REPLICA, 17_000);
+        addReplica(OTHER_REPLICA, Set.of(MODEL));
+        List<String> refusals = new ArrayList<>();
+
+        expectation.scheduleChecks(exchange(Duration.ofMillis(2_500)), call -> true, refusals::add);
+
+        advanceTo(LAST_CHECK_MILLIS);
+        assertEquals(List.of(), refusals, "refused before the sooner load can have been planned");
+        advanceTo(LAST_CHECK_MILLIS + 300);
+        assertEquals(1, refusals.size(), "held although no sooner load was planned");
+    }
+
+    @Test
+    void callBehindSlowLoadWithoutSoonerOneIsRefusedAtTheLastCheck() {
+        startLoad(REPLICA, 17_000);
+
+        assertEquals(Duration.ZERO, expectation.soonerLoadDelay(exchange(Duration.ofMillis(2_500))));
+    }
+
+    @Test
+    void callWithoutLoadInProgressIsRefusedAtTheLastCheck() {
+        addReplica(Set.of(MODEL));
+
+        assertEquals(Duration.ZERO, expectation.soonerLoadDelay(exchange(Duration.ofMillis(2_500))));
+    }
+
+    private void advanceTo(long offsetMillis) {
+        nowMillis = START_MILLIS + offsetMillis;
+        List<Check> due =
+                checks.stream().filter(check -> check.atMillis <= nowMillis).toList();
+        checks.removeAll(due);
+        due.forEach(check -> check.action.run());
+    }
+
+    private record Check(long atMillis, Runnable action) {}
+
     private void startLoad(long durationMillis) {
-        addReplica(Set.of());
-        ReplicaState replica = catalog.find(REPLICA).orElseThrow();
+        startLoad(REPLICA, durationMillis);
+    }
+
+    private void startLoad(UpstreamId id, long durationMillis) {
+        addReplica(id, Set.of());
+        ReplicaState replica = catalog.find(id).orElseThrow();
         replica.onOrderState(replica.process(), 1, Map.of(), Optional.of(MODEL), nowMillis + durationMillis);
     }
 
     private void addReplica(Set<ModelName> onDisk) {
+        addReplica(REPLICA, onDisk);
+    }
+
+    private void addReplica(UpstreamId id, Set<ModelName> onDisk) {
         catalog.put(new ListedReplica(
-                REPLICA,
+                id,
                 SERVICE,
                 new HostPort("10.0.0.1", 8_000),
                 "domain-a",
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PendingLoadsTest.java
@@ -102,4 +102,30 @@
 
         assertEquals(Optional.empty(), pendingLoads.inProgress(replica));
     }
+
+    // Guards against a load that is forgotten because another replica has loaded the same model sooner.
+    @Test
+    void loadsOfOneModelOnTwoReplicasEndIndependently() {
+        ListedReplica listed = replica.listed();
+        ReplicaState sooner = new ReplicaState(
+                new ListedReplica(
+                        new UpstreamId("r2"),
+                        listed.service(),
+                        listed.address(),
+                        listed.failureDomain(),
+                        listed.software(),
+                        listed.slots(),
+                        false,
+                        listed.holdings()),
+                clock);
+        pendingLoads.add(replica, MODEL, 17_000);
+        pendingLoads.add(sooner, MODEL, 500);
+        replica.onOrderState(replica.process(), 5, Map.of(), Optional.of(MODEL), nowMillis + 17_000);
+        sooner.onOrderState(sooner.process(), 5, Map.of(MODEL, Set.of()), Optional.empty(), 0);
+        nowMillis += 1_000;
+
+        assertEquals(Optional.empty(), pendingLoads.inProgress(sooner));
+        assertEquals(
+                Optional.of(new PendingLoads.LoadInProgress(MODEL, 16_000, false)), pendingLoads.inProgress(replica));
+    }
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
@@ -17,6 +18,7 @@
 import org.tarragonring.gateway.call.ReplicaClient;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.mesh.Mesh;
+import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.orders.OrderLeaseManager;
 import org.tarragonring.gateway.orders.PausableStore;
@@ -114,7 +116,16 @@
         LoadRequestRouter router = new LoadRequestRouter(
                 SELF, leases, catalog, new UnusedReplicaClient(), mesh, this::config, time, new Delays(time));
         return new PlanningService(
-                SELF, mesh, catalog, leases, router, new DemandAggregator(time), this::config, time, time);
+                SELF,
+                mesh,
+                catalog,
+                leases,
+                router,
+                new DemandAggregator(time),
+                this::config,
+                time,
+                time,
+                new GatewayMetrics(new SimpleMeterRegistry()));
     }
 
     /** The planner asks for the configuration first in each run. */
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -94,6 +94,19 @@
         return Math.max(waitingCalls, laterCalls) * MISSED_CALL_MILLIS;
     }
 
+    /**
+     * Returns what a later end of a model's load costs its calls: those that wait now and those that come meanwhile.
+     *
+     * @param model the model that no replica has
+     * @param laterMillis by how much later the load ends
+     * @return the cost in milliseconds of callers' waiting
+     */
+    double waitCostMillis(ModelName model, long laterMillis) {
+        AggregateDemand called = demandFor(model);
+        double calls = called.waitingCalls() + called.callsPerSecond() * laterMillis / MILLIS_PER_SECOND;
+        return calls * Math.min(laterMillis, MISSED_CALL_MILLIS);
+    }
+
     /** Returns the rate of the calls for a model that exceed what its replicas should have. */
     double unservedCallsPerSecond(ModelName model) {
         int required = Math.max(1, requiredReplicas(model));
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -1,6 +1,5 @@
 package org.tarragonring.policy.placement;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -11,12 +10,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
 
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.policy.config.EngineSpec;
 import org.tarragonring.policy.config.ModelSpec;
-import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.upstream.CheckpointTier;
 
 /**
@@ -24,8 +21,10 @@
  *
  * <p>Models that are called but resident on too few replicas come first: those that a replica has a local checkpoint of,
  * most urgent first, then those that need the weight store. Each goes to the replica where it is available soonest at the
- * lowest cost to the calls of other models. Then busy models get additional replicas, checkpoints that no replica has, or
- * only one has of a busy model, are fetched, and unused memory is filled.
+ * lowest cost to the calls of other models. A load in progress hides a model with waiting calls only while no replica can
+ * have the model resident sooner from a local checkpoint, by a margin that pays for the second load. Then busy models get
+ * additional replicas, checkpoints that no replica has, or only one has of a busy model, are fetched, and unused memory is
+ * filled.
  *
  * @since 0.2.0
  */
@@ -48,17 +47,11 @@
     private static final double SECOND_CHECKPOINT_RATE_FACTOR = 2;
 
     /** The number of waiting calls from which a model may be loaded from the store although another replica has it. */
-    private static final int MANY_WAITING_CALLS = 3;
-
-    /** The total call rate below which the service counts as idle. */
-    private static final double IDLE_CALLS_PER_SECOND = 0.5;
+    static final int MANY_WAITING_CALLS = 3;
 
     /** The slack below which calls are so late that a model is loaded from the store despite a local checkpoint. */
     private static final long STORE_LOAD_MAX_SLACK_MILLIS = -2_500;
 
-    /** The duration of an unload of a model that has no running calls. */
-    private static final long UNLOAD_MILLIS = 100;
-
     private static final long MILLIS_PER_SECOND = 1_000;
 
     /**
@@ -67,9 +60,6 @@
      */
     private static final double BUSY_MODEL_CALLS_PER_SECOND = 1;
 
-    /** The eviction cost, as caller waiting time, from which a load is dropped unless calls wait for the model. */
-    private static final double MAX_PROACTIVE_EVICTION_COST_MILLIS = 700;
-
     private final EngineSpec engine;
 
     /**
@@ -105,15 +95,6 @@
         return pass.plannedLoads;
     }
 
-    private Duration loadTime(ReplicaState replica, ModelName model) {
-        return engine.models().get(model).loadTime(replica.nearestTier(model));
-    }
-
-    private double weightsMegabytes(ModelName model) {
-        ModelSpec spec = engine.models().get(model);
-        return spec == null ? 0 : spec.weightsMegabytes();
-    }
-
     /** The working state of one call of {@link PlacementPlanner#plan}. */
     private final class PlanningPass {
 
@@ -122,6 +103,9 @@
         private final ServiceDemand demand;
         private final EvictionCosts evictionCosts;
         private final Set<ModelName> pendingModels = new HashSet<>();
+        private final ExpectedLoads expectedLoads = new ExpectedLoads();
+        private final LoadOptions options;
+        private final SlowLoads slowLoads;
         private final List<PlannedLoad> plannedLoads = new ArrayList<>();
         private final StoreLoadLimits limits;
         private int storeLoads;
@@ -133,6 +117,8 @@
             this.demand = demand;
             this.evictionCosts =
                     new EvictionCosts(replicas, demand, engine.models().size());
+            this.options = new LoadOptions(engine, demand, evictionCosts);
+            this.slowLoads = new SlowLoads(options, evictionCosts, expectedLoads);
             for (ReplicaSnapshot replica : replicas) {
                 if (replica.controllable()) {
                     candidates.add(replica);
@@ -142,6 +128,7 @@
                     // An overdue load from a local checkpoint loads from the store, as the checkpoint was dropped.
                     if (isFromStore || !replica.overdue()) {
                         pendingModels.add(model);
+                        expectedLoads.add(model, replica.availableInMillis());
                     }
                     storeLoads += isFromStore || replica.overdue() ? 1 : 0;
                 });
@@ -150,25 +137,33 @@
 
         /**
          * Loads the models that are called but resident on too few replicas: first those that a replica can load from a
-         * local checkpoint, most urgent first, then those of which the store's capacity serves most calls.
+         * local checkpoint, most urgent first, then those of which the store's capacity serves most calls. If calls wait
+         * behind a slow load, the models with local checkpoints whose calls have most to lose come first instead.
          */
         void planLoadsForCalls() {
-            loadable(demand.byModel().values().stream()
-                            .filter(this::isUnderserved)
-                            .sorted(Comparator.comparing((AggregateDemand called) ->
-                                            !evictionCosts.hasCheckpointToLoad(called.model()))
-                                    .thenComparingLong(called -> evictionCosts.hasCheckpointToLoad(called.model())
-                                            ? called.slackMillis()
-                                            : 0)
-                                    .thenComparingDouble(
-                                            called -> -evictionCosts.unservedCallsPerSecond(called.model())))
-                            .map(AggregateDemand::model)
-                            .toList())
-                    .forEach(model -> planLoad(
-                            model,
-                            evictionCosts.residentReplicas(model) == 0
-                                    ? PlannedLoad.Reason.WAITING_CALLS
-                                    : PlannedLoad.Reason.BUSY_MODEL));
+            Set<ModelName> behindSlowLoads = slowLoads.modelsBehind(candidates);
+            demand.byModel().values().stream()
+                    .filter(called -> behindSlowLoads.contains(called.model())
+                            || isUnderserved(called) && isLoadable(called.model()))
+                    .sorted(Comparator.comparing(
+                                    (AggregateDemand called) -> !evictionCosts.hasCheckpointToLoad(called.model()))
+                            .thenComparingDouble(
+                                    called -> behindSlowLoads.isEmpty() ? 0 : -slowLoads.lossMillis(called))
+                            .thenComparingLong(called ->
+                                    evictionCosts.hasCheckpointToLoad(called.model()) ? called.slackMillis() : 0)
+                            .thenComparingDouble(called -> -evictionCosts.unservedCallsPerSecond(called.model())))
+                    .map(AggregateDemand::model)
+                    .toList()
+                    .forEach(model -> planLoad(model, reasonFor(model, behindSlowLoads)));
+        }
+
+        private PlannedLoad.Reason reasonFor(ModelName model, Set<ModelName> behindSlowLoads) {
+            if (behindSlowLoads.contains(model)) {
+                return PlannedLoad.Reason.SOONER_CHECKPOINT;
+            }
+            return evictionCosts.residentReplicas(model) == 0
+                    ? PlannedLoad.Reason.WAITING_CALLS
+                    : PlannedLoad.Reason.BUSY_MODEL;
         }
 
         private boolean isUnderserved(AggregateDemand called) {
@@ -218,10 +213,10 @@
                                         .thenComparing(ModelName::value))
                                 .toList())
                         .stream()
-                        .filter(model -> freeMegabytes(replica) >= weightsMegabytes(model))
+                        .filter(model -> options.fitsInFreeMemory(replica, model))
                         .findFirst()
                         .ifPresent(model ->
-                                addLoad(new LoadOption(replica, List.of(), 0), model, PlannedLoad.Reason.FREE_ROOM));
+                                addLoad(options.withoutEvictions(replica, model), model, PlannedLoad.Reason.FREE_ROOM));
             }
         }
 
@@ -251,14 +246,10 @@
             missing.removeAll(checkpointReplicas().keySet());
             planFetches(
                     List.copyOf(missing),
-                    isIdle() ? Math.max(1, limits.maxConcurrentLoads() / 2) : MAX_STORE_LOADS_IN_TRAFFIC,
+                    options.isIdle() ? Math.max(1, limits.maxConcurrentLoads() / 2) : MAX_STORE_LOADS_IN_TRAFFIC,
                     PlannedLoad.Reason.NO_COPY);
         }
 
-        private boolean isIdle() {
-            return demand.callsPerSecond() < IDLE_CALLS_PER_SECOND;
-        }
-
         private void planFetches(List<ModelName> models, int maxStoreLoads, PlannedLoad.Reason reason) {
             loadable(models.stream()
                             .sorted(Comparator.comparingDouble((ModelName model) ->
@@ -283,9 +274,11 @@
         }
 
         private List<ModelName> loadable(List<ModelName> models) {
-            return models.stream()
-                    .filter(model -> engine.models().containsKey(model) && !pendingModels.contains(model))
-                    .toList();
+            return models.stream().filter(this::isLoadable).toList();
+        }
+
+        private boolean isLoadable(ModelName model) {
+            return engine.models().containsKey(model) && !pendingModels.contains(model);
         }
 
         /**
@@ -297,14 +290,19 @@
                     .filter(replica -> !replica.state().holds(model, ""))
                     .filter(replica -> replica.state().nearestTier(model) != CheckpointTier.REMOTE
                             || mayLoadFromStore() && isStoreLoadWorthwhile(replica, model, reason))
-                    .flatMap(replica -> findOption(replica, model, reason).stream())
+                    .filter(replica ->
+                            reason != PlannedLoad.Reason.SOONER_CHECKPOINT || slowLoads.isSooner(replica, model))
+                    .flatMap(replica -> options.find(replica, model, reason).stream())
+                    .filter(option ->
+                            reason != PlannedLoad.Reason.SOONER_CHECKPOINT || slowLoads.isWorthReplacing(option, model))
                     .min(Comparator.comparingDouble(LoadOption::costMillis));
             best.ifPresent(option -> {
-                if (option.replica.isAvailable()) {
+                if (option.replica().isAvailable()) {
                     addLoad(option, model, reason);
-                } else if (reason == PlannedLoad.Reason.WAITING_CALLS) {
-                    candidates.remove(option.replica);
+                } else if (reason.isForWaitingCalls()) {
+                    candidates.remove(option.replica());
                     pendingModels.add(model);
+                    expectedLoads.add(model, option.residentInMillis());
                 }
             });
         }
@@ -333,85 +331,17 @@
         }
 
         private void addLoad(LoadOption option, ModelName model, PlannedLoad.Reason reason) {
-            CheckpointTier tier = option.replica.state().nearestTier(model);
+            CheckpointTier tier = option.replica().state().nearestTier(model);
             if (tier == CheckpointTier.REMOTE) {
                 storeLoads++;
                 newStoreLoads++;
             }
-            candidates.remove(option.replica);
+            candidates.remove(option.replica());
             pendingModels.add(model);
-            option.evictions.forEach(evictionCosts::recordEviction);
-            long expectedDurationMillis =
-                    loadTime(option.replica.state(), model).toMillis();
-            for (ModelName victim : option.evictions) {
-                expectedDurationMillis += UNLOAD_MILLIS + option.replica.unloadWaitMillis(victim);
-            }
+            option.evictions().forEach(evictionCosts::recordEviction);
+            expectedLoads.add(model, option.residentInMillis());
             plannedLoads.add(new PlannedLoad(
-                    option.replica.state().id(), model, option.evictions, tier, expectedDurationMillis, reason));
-        }
-
-        /**
-         * Selects the models to evict from a replica, cheapest first, and computes the total cost of the load. Returns
-         * empty if the model does not fit or the evictions cost too much.
-         */
-        private Optional<LoadOption> findOption(ReplicaSnapshot replica, ModelName model, PlannedLoad.Reason reason) {
-            long loadMillis = loadTime(replica.state(), model).toMillis();
-            CheckpointTier tier = replica.state().nearestTier(model);
-            boolean isFromStore = tier == CheckpointTier.REMOTE;
-            boolean isForCalls = reason == PlannedLoad.Reason.WAITING_CALLS
-                    || evictionCosts.demandFor(model).waitingCalls() >= MANY_WAITING_CALLS;
-            double maxEvictionCostMillis = isForCalls
-                    ? evictionCosts.maxCostMillis(model, tier, loadMillis)
-                    : MAX_PROACTIVE_EVICTION_COST_MILLIS;
-            ToDoubleFunction<ModelName> victimCost = victim -> isFromStore
-                    ? evictionCosts.storeLoadCostMillis(replica, victim, loadMillis)
-                    : evictionCosts.swapCostMillis(replica, victim);
-            boolean keepsPlacedModels = reason != PlannedLoad.Reason.WAITING_CALLS && isIdle();
-            double requiredMegabytes = weightsMegabytes(model);
-            double freeMegabytes = freeMegabytes(replica);
-            double evictionCostMillis = 0;
-            List<ModelName> evictions = new ArrayList<>();
-            List<ModelName> cheapestFirst = replica.state().residents().keySet().stream()
-                    .filter(victim -> !keepsPlacedModels || !replica.state().isPlaced(victim))
-                    .sorted(Comparator.comparingDouble(victimCost).thenComparing(ModelName::value))
-                    .toList();
-            for (ModelName victim : cheapestFirst) {
-                if (freeMegabytes >= requiredMegabytes) {
-                    break;
-                }
-                evictions.add(victim);
-                freeMegabytes += weightsMegabytes(victim);
-                evictionCostMillis += victimCost.applyAsDouble(victim);
-            }
-            double blockedMillis = isFromStore && isForCalls
-                    ? evictionCosts.blockedCheckpointsCostMillis(replica, model, loadMillis)
-                    : 0;
-            if (freeMegabytes < requiredMegabytes
-                    || !evictions.isEmpty() && evictionCostMillis >= maxEvictionCostMillis
-                    || blockedMillis > 0 && blockedMillis + evictionCostMillis > maxEvictionCostMillis) {
-                return Optional.empty();
-            }
-            // Evicting a model from a replica that then loads from the store does not spare its calls the wait.
-            evictionCostMillis += blockedMillis
-                    + evictionCosts.blockingCostMillis(replica, isFromStore ? Set.of() : evictions, loadMillis);
-            long loadDelayMillis = replica.availableInMillis() + loadMillis;
-            double costMillis =
-                    loadDelayMillis * Math.max(1, evictionCosts.demandFor(model).waitingCalls())
-                            + evictionCostMillis
-                            + replica.state().residents().size();
-            return Optional.of(new LoadOption(replica, evictions, costMillis));
-        }
-
-        private double freeMegabytes(ReplicaSnapshot replica) {
-            double usedMegabytes = replica.pendingLoad()
-                    .map(PlacementPlanner.this::weightsMegabytes)
-                    .orElse(0.0);
-            for (ModelName resident : replica.state().residents().keySet()) {
-                usedMegabytes += weightsMegabytes(resident);
-            }
-            return engine.modelMemoryMegabytes() - usedMegabytes;
+                    option.replica().state().id(), model, option.evictions(), tier, option.durationMillis(), reason));
         }
     }
-
-    private record LoadOption(ReplicaSnapshot replica, List<ModelName> evictions, double costMillis) {}
 }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlannedLoad.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlannedLoad.java
@@ -39,6 +39,8 @@
     public enum Reason {
         /** Calls are waiting for the model. */
         WAITING_CALLS,
+        /** Calls are waiting, and the replica has a local checkpoint from which the load ends before the one in progress. */
+        SOONER_CHECKPOINT,
         /** The model is resident on fewer replicas than its load requires. */
         BUSY_MODEL,
         /** The replica has unused memory that the model fits into. */
@@ -46,6 +48,11 @@
         /** No replica has the checkpoint on disk or in memory, so the first call would wait for the weight store. */
         NO_COPY,
         /** Only one replica has the checkpoint of a busy model, so calls would wait for the store if it were lost. */
-        SINGLE_COPY
+        SINGLE_COPY;
+
+        /** Returns whether calls wait for a model that no replica has. */
+        boolean isForWaitingCalls() {
+            return this == WAITING_CALLS || this == SOONER_CHECKPOINT;
+        }
     }
 }
