Keep replicas for waiting calls out of loads that no call waits for

Loads into free memory and fetches of checkpoints could take the replica that can have a model with waiting calls soonest from a local checkpoint, for 6 to 13 s, while the load in progress of that model was slow or none had begun. Such a replica is now kept until the calls are served, unless another load of the model ends within a second of what the replica could do.

Without the change two tests of SlowLoadPlanningTest fail (a load into free memory, a fetch of a missing checkpoint).

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -82,6 +82,7 @@
     public List<PlannedLoad> plan(Collection<ReplicaSnapshot> replicas, ServiceDemand demand, StoreLoadLimits limits) {
         PlanningPass pass = new PlanningPass(replicas, demand, limits);
         pass.planLoadsForCalls();
+        pass.keepReplicasForWaitingCalls();
         if (!pass.hasUnplannedWaitingCalls()) {
             pass.scaleOutBusyModels();
         }
@@ -166,6 +167,25 @@
                     : PlannedLoad.Reason.BUSY_MODEL;
         }
 
+        /**
+         * Keeps the replicas that can have a model with waiting calls resident soonest from a local checkpoint out of the
+         * loads that no call waits for, unless another load of that model ends about as soon.
+         */
+        void keepReplicasForWaitingCalls() {
+            demand.byModel().values().stream()
+                    .filter(called -> called.waitingCalls() > 0
+                            && engine.models().containsKey(called.model())
+                            && evictionCosts.residentReplicas(called.model()) == 0)
+                    .forEach(called -> candidates.stream()
+                            .filter(replica -> replica.state().nearestTier(called.model()) != CheckpointTier.REMOTE)
+                            .min(Comparator.comparingLong(
+                                    replica -> options.checkpointLoadMillis(replica, called.model())))
+                            .filter(replica -> expectedLoads.savedMillis(
+                                            called.model(), options.checkpointLoadMillis(replica, called.model()))
+                                    >= SlowLoads.MIN_SAVED_MILLIS)
+                            .ifPresent(candidates::remove));
+        }
+
         private boolean isUnderserved(AggregateDemand called) {
             int residentReplicas = evictionCosts.residentReplicas(called.model());
             return residentReplicas == 0
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/SlowLoadPlanningTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/SlowLoadPlanningTest.java
@@ -9,6 +9,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
  * Calls that wait behind a slow load are refused although a replica could have loaded their model sooner. Each test covers
@@ -124,6 +125,42 @@
         assertEquals("r3", plannedLoads.get(0).replicaId().value());
     }
 
+    // Guards against a fetch that blocks the only replica with the checkpoint of a model with waiting calls for
+    // seconds.
+    @Test
+    void onlyReplicaWithCheckpointOfWaitingCallsFetchesNoMissingCheckpoint() {
+        scenario.loading("r1", Set.of("placed"), Set.of("called", "placed"), "called", 3_500)
+                .replica("r2", Set.of("frequent"), Set.of("frequent", "called"))
+                .demand("called", 1, 0, 0)
+                .demand("placed", 0, 1, 0.9)
+                .demand("frequent", 0, 1, 0.9)
+                .demand("missing", 0, 0, 0);
+
+        assertEquals(List.of(), scenario.plan(MANY_STORE_LOADS));
+    }
+
+    // Guards against a load into free memory on the replica that is to serve a queue, if the second load does not pay
+    // yet.
+    @Test
+    void onlyReplicaWithCheckpointOfWaitingCallsFillsNoFreeMemory() {
+        scenario.loading("r1", Set.of(), Set.of(), "called", 3_500)
+                .replica("r2", Set.of("frequent"), Set.of("frequent", "called", "unused"))
+                .demand("called", 1, 0, 0)
+                .demand("frequent", 0, 1, 0.9);
+
+        assertEquals(List.of(), scenario.plan(NO_STORE_LOADS));
+    }
+
+    // Guards against replicas that stay unused for calls which are served soon anyway.
+    @Test
+    void replicaIsNotKeptForCallsWhoseLoadEndsSoon() {
+        scenario.loading("r1", Set.of(), Set.of(), "called", 1_000)
+                .replica("r2", Set.of(), Set.of("called", "unused"))
+                .demand("called", 1, 0, 0);
+
+        assertTrue(isPlanned(PlanningScenario.model("unused"), NO_STORE_LOADS));
+    }
+
     private boolean isPlanned(ModelName model, StoreLoadLimits limits) {
         return scenario.plan(limits).stream().anyMatch(load -> load.model().equals(model));
     }
