--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -135,7 +135,8 @@
                 new DemandAggregator(clocks.monotonic()),
                 this::config,
                 clocks.monotonic(),
-                timers);
+                timers,
+                metrics);
         Duration watchTimeout = WatchTiming.watchTimeout(settings.contactTime(), dependencies.storeTimeout());
         this.quarantine = new RequestQuarantine(
                 settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
