Release an order lease only after its orders have ended

A released lease is taken over without the handover delay, but the release was recorded while an order was on its way, and an order that waited for a renewal was sent after the release. A renewal that was answered after the lease had expired also permitted an order, and a request whose connection was established after its timeout or a suspension was still written.

Orders now register at the lease, check it again when the connection is established, and delay the release until they have ended. After an order without a reply the lease expires instead of being released. A late response to a renewal no longer replaces a later acquisition.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/ReplicaClient.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/call/ReplicaClient.java
@@ -1,5 +1,6 @@
 package org.tarragonring.gateway.call;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
@@ -33,9 +34,11 @@
      *
      * @param replica the replica, not null
      * @param order the order, not null
+     * @param maySend returns whether the order may still be sent; called when the connection is established, just before
+     *     the first byte is written; not null
      * @return the reply of the replica; never fails, {@link OrderReply#UNKNOWN} if there was no response
      */
-    Uni<OrderReply> order(ListedReplica replica, Order order);
+    Uni<OrderReply> order(ListedReplica replica, Order order, BooleanSupplier maySend);
 
     /**
      * The state that a replica reports.
@@ -59,6 +62,8 @@
         OTHER_REPLICA,
         /** The replica rejected the order; a retry would be rejected too. */
         REJECTED,
+        /** The order was not sent, as its sender no longer had the right to. */
+        NOT_SENT,
         /** No usable response arrived; the replica may have accepted the order and may still execute it. */
         UNKNOWN
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/MeteredReplicaClient.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/MeteredReplicaClient.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
@@ -51,10 +52,10 @@
     }
 
     @Override
-    public Uni<OrderReply> order(ListedReplica replica, Order order) {
+    public Uni<OrderReply> order(ListedReplica replica, Order order, BooleanSupplier maySend) {
         long startMillis = clock.millis();
         String request = (order.load() ? "load" : "unload") + (order.adapter().isEmpty() ? "" : "-adapter");
-        return client.order(replica, order)
+        return client.order(replica, order, maySend)
                 .invoke(reply -> metrics.recordRequest(
                         PEER, request, reply.name().toLowerCase(Locale.ROOT), clock.millis() - startMillis));
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.ids.EntryId;
@@ -47,6 +48,13 @@
      */
     private static final Duration RENEWAL_WAIT_AFTER_FAILURE = Duration.ofMillis(250);
 
+    /**
+     * How long after an order without a reply the lease is not released, as the order may still arrive. An entry that
+     * waits for the lease to expire sends its first order later than this: after the validity and a handover delay of
+     * 3 s.
+     */
+    private static final Duration MAX_ORDER_TRANSIT_TIME = Duration.ofMillis(4_500);
+
     private final int group;
     private final EntryId self;
     private final boolean fencesChecked;
@@ -58,6 +66,15 @@
     private long version;
     private long fence;
     private long writeCount;
+    private int ordersOnTheirWay;
+    private Optional<Long> lastUnansweredMillis = Optional.empty();
+    private final MonotonicClock clock;
+
+    /** The number of acquisitions begun, so that a late response to a write of an earlier one is recognised. */
+    private long acquisitionCount;
+
+    /** Completes when no order is on its way any more. */
+    private CompletableFuture<Void> ordersEnded = CompletableFuture.completedFuture(null);
 
     /** The renewal in progress, shared by all orders that wait for it; null if there is none. */
     private Uni<Boolean> pendingRenewal;
@@ -86,6 +103,7 @@
         this.self = Objects.requireNonNull(self, "self");
         this.fencesChecked = fencesChecked;
         this.store = Objects.requireNonNull(store, "store");
+        this.clock = Objects.requireNonNull(clock, "clock");
         this.lease = new OrderLease(clock, wallClock, VALIDITY);
         this.delays = Objects.requireNonNull(delays, "delays");
     }
@@ -109,19 +127,25 @@
     public Uni<Void> acquire(Optional<VersionedRecord> previous) {
         long newFence = previous.map(p -> p.record.fence()).orElse(0L) + 1;
         long expectedVersion = previous.map(VersionedRecord::version).orElse(ObjectStore.ABSENT_VERSION);
-        return write(newFence, expectedVersion).invoke(done -> {
-            held = true;
-            LogEvent.ORDER_LEASE.log(
-                    group,
-                    true,
-                    newFence,
-                    "acquired, previous holder "
-                            + previous.map(p -> p.record.holder()).orElse("nobody"));
-        });
+        acquisitionCount++;
+        pendingRenewal = null;
+        return write(newFence, expectedVersion)
+                .invoke(sent -> {
+                    held = true;
+                    lease.onGranted(sent, newFence);
+                    LogEvent.ORDER_LEASE.log(
+                            group,
+                            true,
+                            newFence,
+                            "acquired, previous holder "
+                                    + previous.map(p -> p.record.holder()).orElse("nobody"));
+                })
+                .replaceWithVoid();
     }
 
     /**
-     * Renews the lease if it is held and about to expire.
+     * Renews the lease if it is held and about to expire. The lease may be released or lost before the caller acts on
+     * the result; {@link #beginOrder} checks it again.
      *
      * <p>If the store is unavailable, orders may still be sent where replicas check fencing tokens, because a replica
      * then rejects the orders of a former holder itself.
@@ -136,14 +160,7 @@
             return Uni.createFrom().item(true);
         }
         if (pendingRenewal == null) {
-            pendingRenewal = write(fence, version)
-                    .map(done -> true)
-                    .onFailure()
-                    .recoverWithItem(this::onRenewalFailure)
-                    .onTermination()
-                    .invoke(() -> pendingRenewal = null)
-                    .memoize()
-                    .indefinitely();
+            pendingRenewal = renew();
         }
         return fencesChecked && renewalFailed
                 ? Uni.join()
@@ -154,8 +171,47 @@
                 : pendingRenewal;
     }
 
+    private Uni<Boolean> renew() {
+        long acquisition = acquisitionCount;
+        return write(fence, version)
+                .map(sent -> {
+                    if (held) {
+                        lease.onGranted(sent, fence);
+                    }
+                    return held;
+                })
+                .onFailure()
+                .recoverWithItem(failure -> acquisition == acquisitionCount && onRenewalFailure(failure))
+                .onTermination()
+                .invoke(() -> pendingRenewal = acquisition == acquisitionCount ? null : pendingRenewal)
+                .memoize()
+                .indefinitely();
+    }
+
     /**
-     * Releases the lease, so that another entry can acquire it without waiting for it to expire.
+     * Registers an order that is about to be sent, so that the lease is released only after the order has ended.
+     *
+     * @return the permission to send one order, whose {@link OrderPermit#end} must be called; empty if the lease is not
+     *     held, or has expired where replicas do not check fencing tokens
+     */
+    public Optional<OrderPermit> beginOrder() {
+        if (!mayOrder()) {
+            return Optional.empty();
+        }
+        if (ordersOnTheirWay++ == 0) {
+            ordersEnded = new CompletableFuture<>();
+        }
+        return Optional.of(new OrderPermit());
+    }
+
+    private boolean mayOrder() {
+        return held && (fencesChecked || lease.isValid());
+    }
+
+    /**
+     * Releases the lease when all orders have ended, so that another entry can acquire it without waiting for it to
+     * expire. If an order got no reply shortly before, the lease expires instead: the order may still arrive, after the
+     * first one of the next holder.
      *
      * @return completes when the release is recorded, or when recording it has failed; never fails
      */
@@ -163,12 +219,26 @@
         if (!held) {
             return Uni.createFrom().voidItem();
         }
-        markLost("released");
         // A renewal in flight changes the version that the release must name.
         Uni<Boolean> renewalEnded = pendingRenewal == null ? Uni.createFrom().item(true) : pendingRenewal;
+        markLost("released");
+        long acquisition = acquisitionCount;
         return renewalEnded
-                .flatMap(renewed -> store.write(
-                        key(), version, Json.write(new LeaseRecord(self.value(), fence, writeCount + 1, true))))
+                .flatMap(renewed -> Uni.createFrom().completionStage(ordersEnded))
+                .flatMap(ended -> mayRecordRelease(acquisition)
+                        ? recordRelease()
+                        : Uni.createFrom().voidItem());
+    }
+
+    private boolean mayRecordRelease(long acquisition) {
+        return acquisition == acquisitionCount
+                && lastUnansweredMillis
+                        .filter(sinceMillis -> clock.millis() - sinceMillis < MAX_ORDER_TRANSIT_TIME.toMillis())
+                        .isEmpty();
+    }
+
+    private Uni<Void> recordRelease() {
+        return store.write(key(), version, Json.write(new LeaseRecord(self.value(), fence, writeCount + 1, true)))
                 .replaceWithVoid()
                 .onFailure()
                 .recoverWithItem(failure -> {
@@ -212,20 +282,24 @@
      * Writes the record with a new write count: the store does not raise the version of an object whose value stays the
      * same, so a renewal must change the value.
      */
-    private Uni<Void> write(long newFence, long expectedVersion) {
+    private Uni<OrderLease.SendTime> write(long newFence, long expectedVersion) {
         OrderLease.SendTime sent = lease.sendTime();
+        long acquisition = acquisitionCount;
         writeCount++;
         byte[] value = Json.write(new LeaseRecord(self.value(), newFence, writeCount, false));
         return store.write(key(), expectedVersion, value)
                 .onFailure(GroupLease::isAmbiguous)
                 .recoverWithUni(() -> confirmWrite(newFence, expectedVersion))
-                .invoke(newVersion -> {
+                .map(newVersion -> {
+                    if (acquisition != acquisitionCount) {
+                        throw new StoreException(
+                                StoreException.Kind.CONFLICT, "write of " + key() + " was answered too late");
+                    }
                     version = newVersion;
                     fence = newFence;
                     renewalFailed = false;
-                    lease.onGranted(sent, newFence);
-                })
-                .replaceWithVoid();
+                    return sent;
+                });
     }
 
     /** Reads the record back to find out whether a write with an unknown outcome took effect. */
@@ -277,6 +351,47 @@
         return new VersionedRecord(object.version(), new LeaseRecord("unknown", object.version(), 0, false));
     }
 
+    /**
+     * The permission to send one order under the lease.
+     *
+     * @since 0.2.0
+     */
+    public final class OrderPermit {
+
+        private final long acquisition = acquisitionCount;
+        private boolean ended;
+
+        private OrderPermit() {}
+
+        /**
+         * Checks if the order may still be sent. Must be called just before its first byte is written, as the process
+         * may have been suspended, or the lease released or lost, since the order was begun.
+         *
+         * @return true if the lease under which the order was begun is still held and has not expired
+         */
+        public boolean maySend() {
+            return !ended && acquisition == acquisitionCount && mayOrder();
+        }
+
+        /**
+         * Records that the order has ended. Has no effect if it had ended before.
+         *
+         * @param mayArriveLater whether the replica may still receive the order, as it did not reply
+         */
+        public void end(boolean mayArriveLater) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (mayArriveLater) {
+                lastUnansweredMillis = Optional.of(clock.millis());
+            }
+            if (--ordersOnTheirWay == 0) {
+                ordersEnded.complete(null);
+            }
+        }
+    }
+
     /**
      * A lease record with the version of the object that it was read from.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/ReplicaLoadExecutor.java
@@ -79,6 +79,7 @@
     private final GroupLease lease;
     private final ReplicaCatalog catalog;
     private final ReplicaClient client;
+    private final LeasedOrderSender sender;
     private final MonotonicClock clock;
     private final Delays delays;
     private final ReplicaStateBroadcaster broadcaster;
@@ -112,6 +113,7 @@
         this.lease = Objects.requireNonNull(lease, "lease");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.client = Objects.requireNonNull(client, "client");
+        this.sender = new LeasedOrderSender(lease, client);
         this.clock = Objects.requireNonNull(clock, "clock");
         this.delays = Objects.requireNonNull(delays, "delays");
         this.broadcaster = new ReplicaStateBroadcaster(catalog, broadcaster, sender, clock, delays);
@@ -315,11 +317,7 @@
                 return Uni.createFrom().item(Optional.empty());
             }
             Order order = new Order(load, model, adapter, replica.acceptedOrders(), self, lease.fence());
-            return client.order(replica.listed(), order).flatMap(reply -> {
-                LogEvent.ORDER_REPLIED.log(
-                        load ? "load" : "unload", model, adapter, id, order.expectedOrderCount(), order.fence(), reply);
-                return onReply(replica, order, reply, attempt);
-            });
+            return sender.send(replica.listed(), order).flatMap(reply -> onReply(replica, order, reply, attempt));
         });
     }
 
@@ -352,6 +350,9 @@
                         ? finalOutcome(false)
                         : Uni.createFrom().item(Optional.empty());
             }
+            case NOT_SENT -> {
+                return Uni.createFrom().item(Optional.empty());
+            }
             case FENCED -> {
                 lease.markLost("replica " + id + " has accepted an order with a newer fencing token");
                 return finalOutcome(false);
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
@@ -164,6 +164,48 @@
         assertTrue(second.read().await().indefinitely().orElseThrow().record().released());
     }
 
+    // Guards against a fencing token that goes back, and a renewal that names an outdated version.
+    @Test
+    void lateResponseToARenewalDoesNotReplaceALaterAcquisition() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        store.pauseResponses(true);
+        first.ensureValid().subscribe().with(valid -> {});
+        store.pauseResponses(false);
+        first.markLost("test");
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+
+        store.resumeWrites();
+
+        assertEquals(2, first.fence());
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        assertTrue(first.ensureValid().await().indefinitely());
+    }
+
+    // Guards against an order that was begun before the process was suspended and is sent when it goes on.
+    @Test
+    void orderBegunBeforeASuspensionMayNotBeSentAfterIt() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        GroupLease.OrderPermit order = first.beginOrder().orElseThrow();
+        assertTrue(order.maySend());
+
+        suspendedMillis = 10_000;
+
+        assertFalse(order.maySend());
+    }
+
+    // Guards against an order that was begun under a lease which was lost and acquired again.
+    @Test
+    void orderBegunUnderAnEarlierAcquisitionMayNotBeSent() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        GroupLease.OrderPermit order = first.beginOrder().orElseThrow();
+        first.markLost("test");
+
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+
+        assertFalse(order.maySend());
+    }
+
     private GroupLease lease(String entry, boolean fencesChecked) {
         return new GroupLease(
                 3,
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/PausableStore.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/PausableStore.java
@@ -19,6 +19,7 @@
     private final Map<String, StoredObject> objects = new HashMap<>();
     private final List<Runnable> pausedWrites = new ArrayList<>();
     private boolean writesPaused;
+    private boolean responsesPaused;
     private boolean reachable = true;
     private long revision;
     private int writeCount;
@@ -27,6 +28,11 @@
         writesPaused = true;
     }
 
+    /** Executes the next writes at once, but holds back their responses until the writes are resumed. */
+    void pauseResponses(boolean isPaused) {
+        responsesPaused = isPaused;
+    }
+
     void resumeWrites() {
         writesPaused = false;
         List.copyOf(pausedWrites).forEach(Runnable::run);
@@ -62,7 +68,12 @@
         return Uni.createFrom().emitter(emitter -> {
             Runnable work = () -> {
                 try {
-                    emitter.complete(writeNow(key, expectedVersion, value));
+                    long version = writeNow(key, expectedVersion, value);
+                    if (responsesPaused) {
+                        pausedWrites.add(() -> emitter.complete(version));
+                    } else {
+                        emitter.complete(version);
+                    }
                 } catch (StoreException e) {
                     emitter.fail(e);
                 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/ReplicaLoadExecutorTest.java
@@ -8,9 +8,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
@@ -57,6 +57,8 @@
     private final FakeReplica replica = new FakeReplica();
     private final List<PeerMessage.ReplicaNotice> notices = new ArrayList<>();
     private final List<EntryId> told = new ArrayList<>();
+    private final PausableStore store = new PausableStore();
+    private Delays delays;
     private GroupLease lease;
     private ReplicaLoadExecutor executor;
 
@@ -69,11 +71,15 @@
             });
             return () -> {};
         });
-        lease = new GroupLease(
-                0, SELF, true, new PausableStore(), clock, () -> Instant.ofEpochMilli(nowMillis), delays);
-        lease.acquire(Optional.empty()).await().indefinitely();
         replica.models.put(FIRST_MODEL, new HashSet<>());
         catalog.put(listed(replica.holdings(Holdings.UNKNOWN_ORDER_COUNT)));
+        useLease(true, delays);
+    }
+
+    private void useLease(boolean fencesChecked, Delays delays) {
+        this.delays = delays;
+        lease = new GroupLease(0, SELF, fencesChecked, store, clock, () -> Instant.ofEpochMilli(nowMillis), delays);
+        lease.acquire(lease.read().await().indefinitely()).await().indefinitely();
         executor = new ReplicaLoadExecutor(
                 REPLICA, SELF, lease, catalog, replica, clock, delays, notices::add, (to, notice) -> told.add(to));
     }
@@ -255,6 +261,84 @@
         assertEquals(broadcasts, notices.size());
     }
 
+    // Guards against an order that waited for a renewal and is sent after the lease was released, while another entry
+    // already sends orders under the next fencing token.
+    @Test
+    void orderThatWaitedForARenewalIsNotSentAfterTheRelease() {
+        useLease(false, delays);
+        request(FIRST_MODEL, "a1", List.of());
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        store.pauseWrites();
+        request(FIRST_MODEL, "a2", List.of());
+
+        lease.release().subscribe().with(done -> {});
+        store.resumeWrites();
+
+        assertEquals(Set.of("a1"), replica.models.get(FIRST_MODEL));
+    }
+
+    // Guards against a lease that another entry takes over at once while an order of this entry is on its way.
+    @Test
+    void releaseIsRecordedAfterTheOrdersOnTheirWayHaveEnded() {
+        useLease(false, delays);
+        request(FIRST_MODEL, "a1", List.of());
+        replica.pausesOrders = true;
+        request(FIRST_MODEL, "a2", List.of());
+
+        lease.release().subscribe().with(done -> {});
+        assertFalse(isReleased(), "released although an order has not ended");
+        replica.pausedOrders.remove().run();
+
+        assertTrue(isReleased());
+    }
+
+    // Guards against an order without a reply that arrives after the first order of the next holder.
+    @Test
+    void leaseIsNotReleasedAfterAnOrderWithoutReply() {
+        useLease(false, delays);
+        replica.repliesToLose = 1;
+        request(FIRST_MODEL, "a1", List.of());
+
+        lease.release().subscribe().with(done -> {});
+
+        assertFalse(isReleased());
+    }
+
+    // Guards against an order under a lease that expired before the response to its renewal arrived.
+    @Test
+    void orderIsNotSentIfTheRenewalIsAnsweredAfterTheLeaseHasExpired() {
+        useLease(false, delays);
+        request(FIRST_MODEL, "a1", List.of());
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        store.pauseWrites();
+        request(FIRST_MODEL, "a2", List.of());
+        nowMillis += GroupLease.VALIDITY.toMillis();
+
+        store.resumeWrites();
+
+        assertEquals(Set.of("a1"), replica.models.get(FIRST_MODEL));
+    }
+
+    // Guards against an order under a lease that is acquired by a write whose response arrives after the lease expired.
+    @Test
+    void leaseWhoseAcquisitionIsAnsweredLateMustBeRenewedBeforeTheFirstOrder() {
+        useLease(false, delays);
+        lease.markLost("test");
+        store.pauseWrites();
+        lease.acquire(lease.read().await().indefinitely()).subscribe().with(done -> {});
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        store.resumeWrites();
+        store.setReachable(false);
+
+        request(FIRST_MODEL, "a1", List.of());
+
+        assertEquals(Set.of(), replica.models.get(FIRST_MODEL));
+    }
+
+    private boolean isReleased() {
+        return lease.read().await().indefinitely().orElseThrow().record().released();
+    }
+
     private void request(ModelName model, String adapter, List<ModelName> evict) {
         request(model, adapter, evict, engine());
     }
@@ -303,6 +387,8 @@
         private boolean losesOrders;
         private boolean pausesReports;
         private final Queue<Runnable> pausedReports = new ArrayDeque<>();
+        private boolean pausesOrders;
+        private final Queue<Runnable> pausedOrders = new ArrayDeque<>();
         private int overloads;
 
         void beginLoad(ModelName model, long millis) {
@@ -326,8 +412,11 @@
         }
 
         @Override
-        public Uni<OrderReply> order(ListedReplica listed, Order order) {
+        public Uni<OrderReply> order(ListedReplica listed, Order order, BooleanSupplier maySend) {
             finishOrders();
+            if (pausesOrders) {
+                return Uni.createFrom().emitter(emitter -> pausedOrders.add(() -> emitter.complete(execute(order))));
+            }
             if (repliesToLose > 0) {
                 repliesToLose--;
                 if (!losesOrders) {
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
@@ -153,7 +154,7 @@
         }
 
         @Override
-        public Uni<OrderReply> order(ListedReplica replica, Order order) {
+        public Uni<OrderReply> order(ListedReplica replica, Order order, BooleanSupplier maySend) {
             return Uni.createFrom().nothing();
         }
     }
