Give up leases and write records again when the store comes back from a copy

A store that comes back from an older copy loses leases and records and gives revisions out again: two holders could get one fencing token, and a lost record ended a quarantine.

Order leases are lost at once, no record of an earlier era counts as free, and fencing tokens contain the era. Watches list again; registrations, quarantine records and software versions that are lost are written again.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -144,6 +144,16 @@
     /** A request for a load was dropped because this entry does not hold the order lease or does not know the replica. */
     LOAD_REQUEST_MISDIRECTED(
             427, Logger.Level.INFO, "dropped load of model %s adapter \"%s\" on replica %s for entry %s: %s"),
+    /** The store came back from an older copy of its data. */
+    STORE_ERA_CHANGED(
+            430,
+            Logger.Level.WARN,
+            "the store came back from an older copy: era %s after %s, reading everything anew, all order leases are lost"),
+    /** A response of the store was discarded, as the store has come back from an older copy since. */
+    STORE_RESPONSE_DISCARDED(
+            431, Logger.Level.WARN, "discarded the response to %s \"%s\", of era %s of the store, the newest is %s"),
+    /** A record was written again, as the store came back from a copy without it. */
+    RECORD_WRITTEN_AGAIN(432, Logger.Level.INFO, "wrote %s again in era %s of the store"),
     /** A serving configuration was activated. */
     SERVING_CONFIG_ACTIVATED(
             610,
--- a/tarragonring-core/src/main/java/org/tarragonring/objects/ObjectStore.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/ObjectStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 
@@ -62,4 +63,24 @@
      * @return the revision reached and the changed objects; no objects if none changed in time
      */
     Uni<WatchBatch> watch(String prefix, long afterRevision, Duration wait);
+
+    /**
+     * Returns the newest era that the store has told. Responses of earlier eras are not passed on: reads are repeated,
+     * and writes fail as {@link StoreException.Kind#AMBIGUOUS}.
+     *
+     * @return the era, {@link StoreEra#NONE} if the store has not told one
+     * @since 0.2.0
+     */
+    default StoreEra era() {
+        return StoreEra.NONE;
+    }
+
+    /**
+     * Adds a listener that is notified when the store has come back from an older copy, before the response that shows
+     * this is passed on. By default there are no eras, and it is never notified.
+     *
+     * @param listener receives each new era, not null
+     * @since 0.2.0
+     */
+    default void addEraListener(Consumer<StoreEra> listener) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -365,6 +365,7 @@
         metrics.registerGauge(
                 "tarragonring.config.version",
                 () -> config.map(ServingConfig::version).orElse(0L));
+        metrics.registerGauge("tarragonring.store.era", () -> store.era().number());
         metrics.registerGauge("tarragonring.config.age.ms", configWatcher::ageMillis);
         metrics.registerGauge("tarragonring.replicas.age.ms", replicaWatcher::ageMillis);
         metrics.registerGauge(
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -17,7 +17,7 @@
 
 /**
  * Watches the objects under one key prefix of the store. Lists them first and then waits for changes; lists them again
- * when the store no longer has the history since the last seen revision.
+ * when the store no longer has the history since the last seen revision, or has come back from an older copy.
  *
  * <p>Not thread-safe.
  *
@@ -56,6 +56,9 @@
     private long lastResponseMillis;
     private long failedEvents;
 
+    /** The number of times that the store came back from an older copy; what was requested before is ignored. */
+    private long restoreCount;
+
     /**
      * Creates a watcher that is not started.
      *
@@ -93,9 +96,19 @@
 
     /** Starts with a listing and then watches until stopped. */
     public void start() {
+        store.addEraListener(era -> onStoreRestored());
         list();
     }
 
+    /** Lists the objects again. Lost ones are written again by their writers, so their deletion is held back. */
+    private void onStoreRestored() {
+        if (!stopped) {
+            restoreCount++;
+            recoveredMillis = clock.millis();
+            list();
+        }
+    }
+
     /** Stops after the current request; its result is still delivered. */
     public void stop() {
         stopped = true;
@@ -156,13 +169,28 @@
             return;
         }
         long sentMillis = clock.millis();
+        long restores = restoreCount;
         Uni.createFrom()
                 .deferred(() -> store.snapshot(prefix))
                 .subscribe()
-                .with(snapshot -> runStep(() -> onSnapshot(snapshot)), failure -> {
-                    onRequestFailed(failure);
-                    timers.schedule(retryDelay(sentMillis), this::list);
-                });
+                .with(
+                        snapshot -> runUnlessRestored(restores, () -> runStep(() -> onSnapshot(snapshot))),
+                        failure -> runUnlessRestored(restores, () -> {
+                            onRequestFailed(failure);
+                            schedule(retryDelay(sentMillis), this::list);
+                        }));
+    }
+
+    private void runUnlessRestored(long restores, Runnable step) {
+        if (restores == restoreCount) {
+            step.run();
+        }
+    }
+
+    /** Schedules a request, which is not sent if the objects are listed again before. */
+    private void schedule(Duration delay, Runnable request) {
+        long restores = restoreCount;
+        timers.schedule(delay, () -> runUnlessRestored(restores, request));
     }
 
     /** Runs a step after which the next request is sent. If the step fails unexpectedly, the objects are listed again. */
@@ -171,7 +199,7 @@
             step.run();
         } catch (RuntimeException | StackOverflowError e) {
             LogEvent.UNEXPECTED_FAILURE.log("the watch of " + prefix, e);
-            timers.schedule(RETRY_DELAY, this::list);
+            schedule(RETRY_DELAY, this::list);
         }
     }
 
@@ -193,10 +221,13 @@
             return;
         }
         long sentMillis = clock.millis();
+        long restores = restoreCount;
         Uni.createFrom()
                 .deferred(() -> store.watch(prefix, revision, watchTimeout))
                 .subscribe()
-                .with(batch -> runStep(() -> onBatch(batch)), failure -> onWatchFailed(failure, revision, sentMillis));
+                .with(
+                        batch -> runUnlessRestored(restores, () -> runStep(() -> onBatch(batch))),
+                        failure -> runUnlessRestored(restores, () -> onWatchFailed(failure, revision, sentMillis)));
     }
 
     private void onWatchFailed(Throwable failure, long revision, long sentMillis) {
@@ -212,7 +243,7 @@
             watch(revision);
         } else {
             onRequestFailed(failure);
-            timers.schedule(retryDelay(sentMillis), () -> watch(revision));
+            schedule(retryDelay(sentMillis), () -> watch(revision));
         }
     }
 
@@ -226,7 +257,7 @@
         if (unchanged || awaitsReturns || batchDelay.isZero()) {
             watch(batch.revision());
         } else {
-            timers.schedule(batchDelay, () -> watch(batch.revision()));
+            schedule(batchDelay, () -> watch(batch.revision()));
         }
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 
+import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import org.tarragonring.gateway.GatewaySettings;
 import org.tarragonring.ids.EntryId;
@@ -68,6 +70,7 @@
     private final FailureDetector detector;
     private final EntryContacts contacts;
     private final DutyRanking ranking = new DutyRanking();
+    private boolean left;
     private final Map<Class<? extends PeerMessage>, BiConsumer<EntryId, PeerMessage>> handlers = new HashMap<>();
 
     /**
@@ -137,12 +140,40 @@
     public void join() {
         Registration own = new Registration(
                 settings.peerAddress().toString(), settings.callerAddress().toString(), settings.failureDomain());
-        register(Json.write(own), ObjectStore.ABSENT_VERSION);
+        byte[] value = Json.write(own);
+        store.addEraListener(era -> registerAgain(value));
+        register(value, ObjectStore.ABSENT_VERSION);
         detector.start();
     }
 
+    /** Writes the registration again if the store has lost it by coming back from an older copy. */
+    private void registerAgain(byte[] value) {
+        if (left) {
+            return;
+        }
+        String key = ENTRY_PREFIX + settings.id();
+        store.read(key)
+                .flatMap(existing -> existing.isPresent()
+                                && Arrays.equals(existing.get().value(), value)
+                        ? Uni.createFrom().item(Optional.<Long>empty())
+                        : store.write(
+                                        key,
+                                        existing.map(StoredObject::version).orElse(ObjectStore.ABSENT_VERSION),
+                                        value)
+                                .map(Optional::of))
+                .subscribe()
+                .with(
+                        written -> written.ifPresent(version -> LogEvent.RECORD_WRITTEN_AGAIN.log(key, store.era())),
+                        failure -> {
+                            LogEvent.DEPENDENCY_STATE.log(
+                                    "store", false, "registration failed: " + failure.getMessage());
+                            timers.schedule(STORE_RETRY_DELAY, () -> registerAgain(value));
+                        });
+    }
+
     /** Marks this entry as leaving, stops probing and sends the new state to the other entries. */
     public void leave() {
+        left = true;
         table.leave();
         detector.stop();
         messenger.broadcast(new PeerMessage.ProbeAck(0));
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
@@ -96,6 +96,17 @@
                 .record(Duration.ofMillis(durationMillis));
     }
 
+    /**
+     * Counts a request to the store by its kind.
+     *
+     * @param operation {@code list}, {@code read}, {@code watch}, {@code write} or {@code delete}, not null
+     * @param prefix the prefix of the keys that the request concerns, not null
+     */
+    public void countStoreRequest(String operation, String prefix) {
+        registry.counter("tarragonring.store.requests", "operation", operation, "prefix", prefix)
+                .increment();
+    }
+
     /**
      * Registers a gauge, whose value is computed each time the metrics are read.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/MeteredStore.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/MeteredStore.java
@@ -5,10 +5,12 @@
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.objects.RevisionedStore;
+import org.tarragonring.objects.StoreEra;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.objects.WatchBatch;
@@ -40,36 +42,47 @@
 
     @Override
     public Uni<Snapshot> snapshot(String prefix) {
-        return measure("list", () -> store.snapshot(prefix));
+        return measure("list", prefix, () -> store.snapshot(prefix));
     }
 
     @Override
     public Uni<Optional<StoredObject>> read(String key) {
-        return measure("read", () -> store.read(key));
+        return measure("read", key, () -> store.read(key));
     }
 
     @Override
     public Uni<List<StoredObject>> list(String prefix) {
-        return measure("list", () -> store.list(prefix));
+        return measure("list", prefix, () -> store.list(prefix));
     }
 
     @Override
     public Uni<Long> write(String key, long expectedVersion, byte[] value) {
-        return measure("write", () -> store.write(key, expectedVersion, value));
+        return measure("write", key, () -> store.write(key, expectedVersion, value));
     }
 
     @Override
     public Uni<Void> delete(String key, long expectedVersion) {
-        return measure("delete", () -> store.delete(key, expectedVersion));
+        return measure("delete", key, () -> store.delete(key, expectedVersion));
     }
 
     @Override
     public Uni<WatchBatch> watch(String prefix, long afterRevision, Duration wait) {
-        return measure("watch", () -> store.watch(prefix, afterRevision, wait));
+        return measure("watch", prefix, () -> store.watch(prefix, afterRevision, wait));
     }
 
-    private <T> Uni<T> measure(String request, Supplier<Uni<T>> operation) {
+    @Override
+    public StoreEra era() {
+        return store.era();
+    }
+
+    @Override
+    public void addEraListener(Consumer<StoreEra> listener) {
+        store.addEraListener(listener);
+    }
+
+    private <T> Uni<T> measure(String request, String key, Supplier<Uni<T>> operation) {
         return Uni.createFrom().deferred(() -> {
+            metrics.countStoreRequest(request, key.substring(0, key.indexOf('/') + 1));
             long startMillis = clock.millis();
             return operation
                     .get()
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/GroupLease.java
@@ -55,6 +55,9 @@
      */
     private static final Duration MAX_ORDER_TRANSIT_TIME = Duration.ofMillis(4_500);
 
+    /** The number of bits below the era of the store in a fencing token. */
+    private static final int ERA_SHIFT = 32;
+
     private final int group;
     private final EntryId self;
     private final boolean fencesChecked;
@@ -73,6 +76,9 @@
     /** The number of acquisitions begun, so that a late response to a write of an earlier one is recognised. */
     private long acquisitionCount;
 
+    /** When this entry learned that the store came back from an older copy. */
+    private Optional<Long> restoredMillis = Optional.empty();
+
     /** Completes when no order is on its way any more. */
     private CompletableFuture<Void> ordersEnded = CompletableFuture.completedFuture(null);
 
@@ -106,6 +112,44 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.lease = new OrderLease(clock, wallClock, VALIDITY);
         this.delays = Objects.requireNonNull(delays, "delays");
+        store.addEraListener(era -> onStoreRestored());
+    }
+
+    /** Gives up the lease, whose record the store may have lost, and ignores the responses to earlier writes. */
+    private void onStoreRestored() {
+        markLost("the store came back from an older copy");
+        acquisitionCount++;
+        pendingRenewal = null;
+        restoredMillis = Optional.of(clock.millis());
+    }
+
+    /**
+     * Returns how long ago the store came back from an older copy, which may lack the record of the last holder.
+     *
+     * @return the time since this entry learned of it in milliseconds, empty if it has not happened since its start
+     */
+    Optional<Long> millisSinceRestore() {
+        return restoredMillis.map(sinceMillis -> clock.millis() - sinceMillis);
+    }
+
+    /**
+     * Returns the era of the store that holds the record.
+     *
+     * @return the number of the newest era seen, 0 if the store tells none
+     */
+    long era() {
+        return store.era().number();
+    }
+
+    /**
+     * Checks whether the lease can be acquired at once. A record of an earlier era of the store cannot: its holder may
+     * not know yet that its lease is lost, and the record may have replaced that of a later holder.
+     *
+     * @param record the record of the lease, not null
+     * @return true if this entry or a holder that has released the lease has written the record in this era
+     */
+    boolean isFree(LeaseRecord record) {
+        return record.era() == era() && (record.released() || record.holder().equals(self.value()));
     }
 
     /**
@@ -114,7 +158,7 @@
      * @return the record and its version, or empty if the lease was never acquired; fails with {@link StoreException}
      */
     public Uni<Optional<VersionedRecord>> read() {
-        return store.read(key()).map(object -> object.map(GroupLease::decode));
+        return store.read(key()).map(object -> object.map(this::decode));
     }
 
     /**
@@ -125,7 +169,7 @@
      *     not be written
      */
     public Uni<Void> acquire(Optional<VersionedRecord> previous) {
-        long newFence = previous.map(p -> p.record.fence()).orElse(0L) + 1;
+        long newFence = nextFence(previous);
         long expectedVersion = previous.map(VersionedRecord::version).orElse(ObjectStore.ABSENT_VERSION);
         acquisitionCount++;
         pendingRenewal = null;
@@ -143,6 +187,19 @@
                 .replaceWithVoid();
     }
 
+    /**
+     * Returns a fencing token above all that were used. In an era after a loss, the record may have been replaced by one
+     * of the era before, so that only its version is above all tokens: each of them was written at a version of its own.
+     */
+    private long nextFence(Optional<VersionedRecord> previous) {
+        long previousFence = previous.map(p -> p.record.fence()).orElse(0L);
+        if (era() == 0) {
+            return previousFence + 1;
+        }
+        long version = previous.map(VersionedRecord::version).orElse(ObjectStore.ABSENT_VERSION);
+        return Math.max(previousFence, (era() << ERA_SHIFT) + version) + 1;
+    }
+
     /**
      * Renews the lease if it is held and about to expire. The lease may be released or lost before the caller acts on
      * the result; {@link #beginOrder} checks it again.
@@ -238,7 +295,8 @@
     }
 
     private Uni<Void> recordRelease() {
-        return store.write(key(), version, Json.write(new LeaseRecord(self.value(), fence, writeCount + 1, true)))
+        return store.write(
+                        key(), version, Json.write(new LeaseRecord(self.value(), fence, writeCount + 1, true, era())))
                 .replaceWithVoid()
                 .onFailure()
                 .recoverWithItem(failure -> {
@@ -286,7 +344,7 @@
         OrderLease.SendTime sent = lease.sendTime();
         long acquisition = acquisitionCount;
         writeCount++;
-        byte[] value = Json.write(new LeaseRecord(self.value(), newFence, writeCount, false));
+        byte[] value = Json.write(new LeaseRecord(self.value(), newFence, writeCount, false, era()));
         return store.write(key(), expectedVersion, value)
                 .onFailure(GroupLease::isAmbiguous)
                 .recoverWithUni(() -> confirmWrite(newFence, expectedVersion))
@@ -305,7 +363,7 @@
     /** Reads the record back to find out whether a write with an unknown outcome took effect. */
     private Uni<Long> confirmWrite(long newFence, long expectedVersion) {
         return store.read(key()).map(object -> {
-            VersionedRecord current = object.map(GroupLease::decode).orElse(null);
+            VersionedRecord current = object.map(this::decode).orElse(null);
             if (current != null
                     && current.version > expectedVersion
                     && current.record.holder().equals(self.value())
@@ -339,7 +397,7 @@
      * Decodes a record. One that cannot be read, as another writer has replaced it, counts as expired. Each fencing token
      * was written at a revision of its own, so that the version of the object is at least as high as all of them.
      */
-    private static VersionedRecord decode(StoredObject object) {
+    private VersionedRecord decode(StoredObject object) {
         try {
             LeaseRecord record = Json.read(object.value(), LeaseRecord.class);
             if (record != null && record.holder() != null) {
@@ -348,7 +406,7 @@
         } catch (UncheckedIOException e) {
             LogEvent.STORED_OBJECT_INVALID.log(object.key(), "", "cannot be decoded: " + e.getMessage());
         }
-        return new VersionedRecord(object.version(), new LeaseRecord("unknown", object.version(), 0, false));
+        return new VersionedRecord(object.version(), new LeaseRecord("unknown", object.version(), 0, false, era()));
     }
 
     /**
@@ -407,6 +465,7 @@
      * @param fence the holder's fencing token
      * @param renewals the number of writes of this record by the holder since its process started
      * @param released whether the holder released the lease
+     * @param era the number of the store's era in which the record was written, 0 if the store told none
      */
-    public record LeaseRecord(String holder, long fence, long renewals, boolean released) {}
+    public record LeaseRecord(String holder, long fence, long renewals, boolean released, long era) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderLeaseManager.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/orders/OrderLeaseManager.java
@@ -219,13 +219,15 @@
     }
 
     private void tryTakeOver(int group) {
+        long era = leases.get(group).era();
+        pendingTakeovers.values().removeIf(takeover -> takeover.era != era);
         PendingTakeover pending = pendingTakeovers.get(group);
         if (pending != null && clock.millis() < pending.acquireAtMillis) {
             return;
         }
         storeRequestInProgress[group] = true;
         if (pending != null) {
-            acquire(group, Optional.of(pending.previous));
+            acquire(group, pending.previous);
             return;
         }
         leases.get(group)
@@ -236,22 +238,24 @@
 
     /**
      * Acquires a free lease at once. Otherwise schedules the takeover after the lease validity plus the handover delay:
-     * a holder that has not renewed the lease by then cannot have sent an order for at least the handover delay.
+     * a holder that has not renewed the lease by then cannot have sent an order for at least the handover delay. A
+     * record that is absent is no proof of that until this time after the store came back from an older copy.
      */
     private void onRead(int group, Optional<GroupLease.VersionedRecord> previous) {
         if (stopped) {
             return;
         }
-        boolean isFree = previous.isEmpty()
-                || previous.get().record().released()
-                || previous.get().record().holder().equals(self.value());
-        if (isFree) {
+        GroupLease lease = leases.get(group);
+        long takeoverMillis = GroupLease.VALIDITY.plus(handoverDelay).toMillis();
+        long waitMillis = previous.isEmpty()
+                ? takeoverMillis - lease.millisSinceRestore().orElse(takeoverMillis)
+                : lease.isFree(previous.get().record()) ? 0 : takeoverMillis;
+        if (waitMillis <= 0) {
             acquire(group, previous);
             return;
         }
         storeRequestInProgress[group] = false;
-        long acquireAtMillis = clock.millis() + GroupLease.VALIDITY.toMillis() + handoverDelay.toMillis();
-        pendingTakeovers.put(group, new PendingTakeover(previous.get(), acquireAtMillis));
+        pendingTakeovers.put(group, new PendingTakeover(previous, lease.era(), clock.millis() + waitMillis));
     }
 
     private void acquire(int group, Optional<GroupLease.VersionedRecord> previous) {
@@ -283,8 +287,9 @@
     /**
      * The planned takeover of a lease whose holder appears to have failed.
      *
-     * @param previous the record of that holder
+     * @param previous the record of that holder, empty if there is none
+     * @param era the number of the store's era in which the record was read
      * @param acquireAtMillis when the lease may be acquired if the record has not changed, on the monotonic clock
      */
-    private record PendingTakeover(GroupLease.VersionedRecord previous, long acquireAtMillis) {}
+    private record PendingTakeover(Optional<GroupLease.VersionedRecord> previous, long era, long acquireAtMillis) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
@@ -38,6 +38,12 @@
     public static final String PREFIX = "tarragonring-quarantine/";
 
     private static final Duration WRITE_RETRY_DELAY = Duration.ofMillis(1_000);
+    /** How long the entry that removes records has to write lost ones again before all others do. */
+    private static final Duration REWRITE_DELAY_OF_OTHERS = Duration.ofMillis(700);
+
+    /** The time in which the records are usually listed, so that those that are not lost are not written. */
+    private static final Duration REWRITE_LISTING_TIME = Duration.ofMillis(300);
+
     private static final Duration CLEANUP_PERIOD = Duration.ofSeconds(60);
 
     private final RevisionedStore store;
@@ -48,6 +54,10 @@
     private final StoreWatcher watcher;
     private final Map<RequestFingerprint, Stored> stored = new HashMap<>();
     private final Set<RequestFingerprint> pendingWrites = new HashSet<>();
+
+    /** The requests whose records may be lost, as the store came back from an older copy; until they are stored again. */
+    private final Set<RequestFingerprint> possiblyLost = new HashSet<>();
+
     private Timers.Task cleanupTask = () -> {};
 
     /**
@@ -80,10 +90,22 @@
 
     /** Starts to watch the records and to remove expired ones. */
     public void start() {
+        store.addEraListener(era -> onStoreRestored());
         watcher.start();
         cleanupTask = timers.scheduleWithFixedDelay(CLEANUP_PERIOD, this::removeExpired);
     }
 
+    /** Writes the records again that the store has lost. The watcher lists those that it still has. */
+    private void onStoreRestored() {
+        List<RequestFingerprint> known = stored.keySet().stream()
+                .filter(request -> !isExpired(stored.get(request)) && quarantine.isQuarantined(request))
+                .toList();
+        stored.clear();
+        possiblyLost.addAll(known);
+        Duration delay = cleansUp.getAsBoolean() ? Duration.ZERO : REWRITE_DELAY_OF_OTHERS;
+        known.forEach(request -> writeAfter(request, REWRITE_LISTING_TIME.plus(delay)));
+    }
+
     /** Stops watching. */
     public void stop() {
         watcher.stop();
@@ -141,6 +163,7 @@
         Optional<QuarantineState> state = quarantine.state(request);
         if (isStored(request) || state.isEmpty()) {
             pendingWrites.remove(request);
+            possiblyLost.remove(request);
             return;
         }
         Stored previous = stored.get(request);
@@ -152,6 +175,9 @@
                         version -> {
                             pendingWrites.remove(request);
                             stored.put(request, new Stored(version, record));
+                            if (possiblyLost.remove(request)) {
+                                LogEvent.RECORD_WRITTEN_AGAIN.log(PREFIX + request, store.era());
+                            }
                         },
                         failure -> onWriteFailed(request, failure));
     }
@@ -176,15 +202,19 @@
             RequestFingerprint request = requestOf(object.key());
             Record record = Json.read(object.value(), Record.class);
             stored.put(request, new Stored(object.version(), record));
+            possiblyLost.remove(request);
             quarantine.quarantine(request, record.toState(wallClock.millis()));
         } catch (RuntimeException e) {
             LogEvent.STORED_OBJECT_INVALID.log(object.key(), "expiresAtMillis", "cannot be read: " + e.getMessage());
         }
     }
 
-    /** Ends a quarantine whose record was deleted, also if this entry has not seen the record. */
+    /** Ends a quarantine whose record was deleted, not lost by the store, also if this entry has not seen the record. */
     private void onDeleted(String key) {
         try {
+            if (possiblyLost.contains(requestOf(key))) {
+                return;
+            }
             stored.remove(requestOf(key));
             quarantine.clear(requestOf(key));
         } catch (IllegalArgumentException e) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -8,7 +8,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -20,10 +19,8 @@
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.log.LogEvent;
-import org.tarragonring.objects.Json;
 import org.tarragonring.objects.ObjectStore;
 import org.tarragonring.objects.StoreException;
-import org.tarragonring.objects.StoredObject;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
@@ -72,6 +69,9 @@
     /** How often a write is tried that is overtaken by one of another entry, or whose response is lost. */
     private static final int WRITE_ATTEMPTS = 3;
 
+    /** How long the responsible entry has to record lost versions again before all others do. */
+    private static final Duration REWRITE_DELAY_OF_OTHERS = Duration.ofMillis(700);
+
     private final ObjectStore store;
     private final ReplicaCatalog catalog;
     private final CurrentReplicas currentReplicas;
@@ -86,9 +86,12 @@
     private final Map<ServiceVersion, Long> firstReadMillis = new HashMap<>();
 
     /** What this entry has read or written last; empty before the first response of the store. */
-    private Optional<Recorded> recorded = Optional.empty();
+    private Optional<RecordedVersions> recorded = Optional.empty();
+
+    /** What was recorded before the store came back from an older copy, until it is recorded again. */
+    private Map<ServiceName, Set<SoftwareVersion>> lost = Map.of();
 
-    private Optional<CompletableFuture<Optional<Recorded>>> pendingRead = Optional.empty();
+    private Optional<CompletableFuture<Optional<RecordedVersions>>> pendingRead = Optional.empty();
     private Optional<CompletableFuture<Void>> pendingUpdate = Optional.empty();
 
     /** The recorded versions of which a replica has been listed since; the responsible entry does not remove them. */
@@ -142,6 +145,7 @@
      */
     public CompletableFuture<Void> start() {
         startedMillis = clock.millis();
+        store.addEraListener(era -> onStoreRestored());
         checks = timers.scheduleWithFixedDelay(CHECK_PERIOD, this::check);
         readAtStart();
         return started;
@@ -197,7 +201,7 @@
     }
 
     private static Optional<SoftwareVersion> onlyVersion(
-            Optional<Recorded> record, ServiceName service, Set<SoftwareVersion> listed) {
+            Optional<RecordedVersions> record, ServiceName service, Set<SoftwareVersion> listed) {
         Set<SoftwareVersion> versions =
                 new TreeSet<>(record.map(known -> known.of(service)).orElse(Set.of()));
         boolean isKnown = !versions.isEmpty();
@@ -256,7 +260,7 @@
             // a version may have returned and left since it was read of first
             firstReadMillis.replaceAll((version, readMillis) -> clock.millis());
         }
-        Recorded known = recorded.orElseThrow();
+        RecordedVersions known = recorded.orElseThrow();
         if (hasTakenOver || isResponsible && !isUpToDate(known, wantedVersions(known))) {
             update();
         } else if (isSettled && !confirmed.containsAll(listed)) {
@@ -279,8 +283,26 @@
         return true;
     }
 
-    private static boolean isUpToDate(Recorded record, Map<ServiceName, Set<SoftwareVersion>> wanted) {
-        return wanted.equals(record.versions) && !(record.isAbsent() && record.isComplete);
+    /**
+     * Reads the record again, and adds what the store has lost of it by coming back from an older copy. A version that
+     * was read of before no stream runs any more is added only if it was listed since.
+     */
+    private void onStoreRestored() {
+        confirmed.clear();
+        long goneMillis = goneMillis();
+        lost = new HashMap<>();
+        recorded.map(RecordedVersions::versions)
+                .orElse(Map.of())
+                .forEach((service, versions) -> versions.stream()
+                        .filter(version -> firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis)
+                        .forEach(version -> add(lost, service, version)));
+        if (isRead()) {
+            timers.schedule(responsible.getAsBoolean() ? Duration.ZERO : REWRITE_DELAY_OF_OTHERS, this::update);
+        }
+    }
+
+    private static boolean isUpToDate(RecordedVersions record, Map<ServiceName, Set<SoftwareVersion>> wanted) {
+        return wanted.equals(record.versions()) && !(record.isAbsent() && record.isComplete());
     }
 
     /** Reads the record and writes it if it is not up to date; requests that overlap share one update. Never fails. */
@@ -305,30 +327,34 @@
                 return CompletableFuture.completedFuture(null);
             }
             Map<ServiceName, Set<SoftwareVersion>> wanted = wantedVersions(record.get());
-            return isUpToDate(record.get(), wanted)
-                    ? CompletableFuture.completedFuture(null)
-                    : write(record.get().objectVersion, wanted)
-                            .thenCompose(isWritten -> isWritten || attemptsLeft == 1
-                                    ? CompletableFuture.completedFuture(null)
-                                    : update(attemptsLeft - 1));
+            if (isUpToDate(record.get(), wanted)) {
+                lost = Map.of();
+                return CompletableFuture.completedFuture(null);
+            }
+            return write(record.get().objectVersion(), wanted)
+                    .thenCompose(isWritten -> isWritten || attemptsLeft == 1
+                            ? CompletableFuture.completedFuture(null)
+                            : update(attemptsLeft - 1));
         });
     }
 
     /** Returns what is to be recorded: the versions that this entry has seen or read of, unless they left long ago. */
-    private Map<ServiceName, Set<SoftwareVersion>> wantedVersions(Recorded record) {
+    private Map<ServiceName, Set<SoftwareVersion>> wantedVersions(RecordedVersions record) {
         long goneMillis = goneMillis();
         Map<ServiceName, Set<SoftwareVersion>> wanted = listedVersions();
         catalog.versionsListedSince(goneMillis)
                 .forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
-        if (!record.isComplete) {
+        if (!record.isComplete()) {
             wanted.forEach((service, versions) -> versions.add(UNKNOWN));
         }
-        record.versions.forEach((service, versions) -> versions.forEach(version -> {
-            boolean mayHaveLeft = mayRemove && catalog.isListCurrent();
-            if (!mayHaveLeft || firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis) {
-                add(wanted, service, version);
-            }
-        }));
+        lost.forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
+        record.versions()
+                .forEach((service, versions) -> versions.forEach(version -> {
+                    boolean mayHaveLeft = mayRemove && catalog.isListCurrent();
+                    if (!mayHaveLeft || firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis) {
+                        add(wanted, service, version);
+                    }
+                }));
         return wanted;
     }
 
@@ -352,11 +378,15 @@
      */
     private CompletableFuture<Boolean> write(long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions) {
         CompletableFuture<Boolean> isWritten = new CompletableFuture<>();
-        store.write(KEY, objectVersion, Json.write(VersionRecord.of(versions)))
+        store.write(KEY, objectVersion, RecordedVersions.encode(versions))
                 .subscribe()
                 .with(
                         newVersion -> {
-                            know(new Recorded(newVersion, versions, true));
+                            know(new RecordedVersions(newVersion, versions, true));
+                            if (!lost.isEmpty()) {
+                                lost = Map.of();
+                                LogEvent.RECORD_WRITTEN_AGAIN.log(KEY, store.era());
+                            }
                             LogEvent.SERVING_VERSIONS_RECORDED.log(versions);
                             isWritten.complete(true);
                         },
@@ -389,13 +419,14 @@
     }
 
     /** Reads the record; requests that overlap share one call to the store. Empty if the store does not respond. */
-    private CompletableFuture<Optional<Recorded>> read() {
+    private CompletableFuture<Optional<RecordedVersions>> read() {
         return pendingRead.orElseGet(() -> {
-            CompletableFuture<Optional<Recorded>> response = new CompletableFuture<>();
+            CompletableFuture<Optional<RecordedVersions>> response = new CompletableFuture<>();
             pendingRead = Optional.of(response);
             store.read(KEY)
-                    .flatMap(object ->
-                            object.isPresent() ? Uni.createFrom().item(decode(object.get())) : readTraceOfServing())
+                    .flatMap(object -> object.isPresent()
+                            ? Uni.createFrom().item(RecordedVersions.decode(object.get()))
+                            : readTraceOfServing())
                     .subscribe()
                     .with(record -> onRead(response, Optional.of(record)), failure -> {
                         LogEvent.DEPENDENCY_STATE.log("store", false, "versions not read: " + failure.getMessage());
@@ -406,24 +437,25 @@
     }
 
     /** Finds out whether the record is missing because nothing has been served yet. */
-    private Uni<Recorded> readTraceOfServing() {
+    private Uni<RecordedVersions> readTraceOfServing() {
         if (recorded.isPresent() || stopped) {
-            boolean hasNeverServed = recorded.filter(Recorded::isAbsent)
-                    .map(Recorded::isComplete)
+            boolean isRebuilt = !lost.isEmpty();
+            boolean hasNeverServed = recorded.filter(RecordedVersions::isAbsent)
+                    .map(RecordedVersions::isComplete)
                     .orElse(false);
-            return Uni.createFrom().item(Recorded.absent(hasNeverServed));
+            return Uni.createFrom().item(RecordedVersions.absent(hasNeverServed || isRebuilt));
         }
-        return store.list(traceOfServing).map(traces -> Recorded.absent(traces.isEmpty()));
+        return store.list(traceOfServing).map(traces -> RecordedVersions.absent(traces.isEmpty()));
     }
 
-    private void onRead(CompletableFuture<Optional<Recorded>> response, Optional<Recorded> record) {
+    private void onRead(CompletableFuture<Optional<RecordedVersions>> response, Optional<RecordedVersions> record) {
         pendingRead = Optional.empty();
         record.ifPresent(this::know);
         response.complete(record);
     }
 
-    private void know(Recorded record) {
-        Set<ServiceVersion> known = pairs(record.versions);
+    private void know(RecordedVersions record) {
+        Set<ServiceVersion> known = pairs(record.versions());
         firstReadMillis.keySet().retainAll(known);
         known.forEach(version -> firstReadMillis.putIfAbsent(version, clock.millis()));
         confirmed.clear();
@@ -437,60 +469,5 @@
         return pairs;
     }
 
-    private static Recorded decode(StoredObject object) {
-        try {
-            VersionRecord record = Json.read(object.value(), VersionRecord.class);
-            return new Recorded(object.version(), record.toVersions(), true);
-        } catch (RuntimeException | StackOverflowError e) {
-            LogEvent.STORED_OBJECT_INVALID.log(KEY, "services", "cannot be read: " + e.getMessage());
-            return new Recorded(object.version(), Map.of(), false);
-        }
-    }
-
     private record ServiceVersion(ServiceName service, SoftwareVersion version) {}
-
-    /**
-     * The record as it is stored.
-     *
-     * @param objectVersion the version of the object in the store
-     * @param versions the recorded versions of each service
-     * @param isComplete whether all versions that may have begun streams were recorded
-     */
-    private record Recorded(long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions, boolean isComplete) {
-
-        static Recorded absent(boolean isComplete) {
-            return new Recorded(ObjectStore.ABSENT_VERSION, Map.of(), isComplete);
-        }
-
-        boolean isAbsent() {
-            return objectVersion == ObjectStore.ABSENT_VERSION;
-        }
-
-        Set<SoftwareVersion> of(ServiceName service) {
-            return versions.getOrDefault(service, Set.of());
-        }
-    }
-
-    /**
-     * The JSON value of the record.
-     *
-     * @param services the names of the versions, by the name of the service
-     */
-    private record VersionRecord(Map<String, List<String>> services) {
-
-        static VersionRecord of(Map<ServiceName, Set<SoftwareVersion>> versions) {
-            Map<String, List<String>> services = new TreeMap<>();
-            versions.forEach((service, each) -> services.put(
-                    service.value(), each.stream().map(SoftwareVersion::value).toList()));
-            return new VersionRecord(services);
-        }
-
-        Map<ServiceName, Set<SoftwareVersion>> toVersions() {
-            Map<ServiceName, Set<SoftwareVersion>> versions = new HashMap<>();
-            services.forEach((service, names) -> versions.put(
-                    new ServiceName(service),
-                    new TreeSet<>(names.stream().map(SoftwareVersion::new).toList())));
-            return versions;
-        }
-    }
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
@@ -5,9 +5,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.objects.RevisionedStore;
+import org.tarragonring.objects.StoreEra;
+import org.tarragonring.objects.StoreEras;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.objects.WatchBatch;
@@ -16,7 +19,10 @@
 public final class MemoryStore implements RevisionedStore {
 
     private final Map<String, StoredObject> objects = new TreeMap<>();
+    private final StoreEras eras = new StoreEras();
+    private Map<String, StoredObject> copy = Map.of();
     private long revision = 100;
+    private long copiedRevision;
     private int writeCount;
     private int failingReads;
     private int failingLists;
@@ -26,6 +32,31 @@
         objects.put(key, new StoredObject(key, ++revision, value));
     }
 
+    /** Copies all objects, in the first era of the store or a later one. */
+    public void copy() {
+        eras.observe(new StoreEra(Math.max(1, era().number())));
+        copy = Map.copyOf(objects);
+        copiedRevision = revision;
+    }
+
+    /** Comes back from the last copy in a new era, in which revisions are given out again. */
+    public void restoreCopy() {
+        objects.clear();
+        objects.putAll(copy);
+        revision = copiedRevision;
+        eras.observe(new StoreEra(era().number() + 1));
+    }
+
+    @Override
+    public StoreEra era() {
+        return eras.newest();
+    }
+
+    @Override
+    public void addEraListener(Consumer<StoreEra> listener) {
+        eras.addListener(listener);
+    }
+
     /** Lets the next reads of single objects fail. */
     public void failReads(int count) {
         failingReads = count;
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/follow/StoreWatcherTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/follow/StoreWatcherTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.smallrye.mutiny.Uni;
@@ -14,6 +15,8 @@
 import org.junit.jupiter.api.Test;
 import org.tarragonring.gateway.ManualTime;
 import org.tarragonring.objects.RevisionedStore;
+import org.tarragonring.objects.StoreEra;
+import org.tarragonring.objects.StoreEras;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoreException.Kind;
 import org.tarragonring.objects.StoredObject;
@@ -141,6 +144,26 @@
         assertEquals(1, store.pending.size());
     }
 
+    // Guards against objects that an entry keeps although the store has lost them, and two watches of one prefix.
+    @Test
+    void objectsAreListedAgainWhenTheStoreComesBackFromACopy() {
+        store.listed = List.of(object("a"));
+        store.eras.observe(new StoreEra(1));
+        store.eras.observe(new StoreEra(2));
+        assertEquals(List.of("things/a"), changed);
+        assertEquals(List.of(), deleted, "a lost object may be written again");
+        time.advance(Duration.ofSeconds(2));
+        assertEquals(List.of("things/b"), deleted);
+        changed.clear();
+        int sent = store.sentCount;
+
+        store.answer(new WatchBatch(900, List.of(object("of-the-era-before")), List.of()));
+        time.advance(Duration.ofSeconds(2));
+
+        assertEquals(List.of(), changed);
+        assertEquals(sent, store.sentCount);
+    }
+
     private void onChanged(String key) {
         changed.add(key);
         failIfTold();
@@ -167,8 +190,19 @@
         private final Queue<UniEmitter<? super WatchBatch>> pending = new ArrayDeque<>();
         private List<StoredObject> listed = List.of();
         private Optional<RuntimeException> nextRequestFailure = Optional.empty();
+        private final StoreEras eras = new StoreEras();
         private int sentCount;
 
+        @Override
+        public StoreEra era() {
+            return eras.newest();
+        }
+
+        @Override
+        public void addEraListener(Consumer<StoreEra> listener) {
+            eras.addListener(listener);
+        }
+
         void answer(WatchBatch batch) {
             pending.remove().complete(batch);
         }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
@@ -206,6 +206,69 @@
         assertFalse(order.maySend());
     }
 
+    // Guards against orders under a lease that the store no longer has.
+    @Test
+    void heldLeaseIsLostWhenTheStoreComesBackFromACopy() {
+        store.copy();
+        first.acquire(Optional.empty()).await().indefinitely();
+        GroupLease.OrderPermit order = first.beginOrder().orElseThrow();
+
+        store.restoreCopy();
+
+        assertFalse(first.isHeld());
+        assertFalse(order.maySend());
+        assertFalse(first.ensureValid().await().indefinitely());
+    }
+
+    // Guards against a token that comes twice, as the record with the last one is lost.
+    @Test
+    void fenceRisesAlthoughTheLastAcquisitionsAreLost() {
+        store.copy();
+        first.acquire(Optional.empty()).await().indefinitely();
+        first.markLost("test");
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+        store.restoreCopy();
+
+        second.acquire(second.read().await().indefinitely()).await().indefinitely();
+
+        assertTrue(second.fence() > first.fence(), second.fence() + " after " + first.fence());
+    }
+
+    // Guards against a token that comes twice, as a holder that does not know of the new era has replaced the record.
+    @Test
+    void fenceRisesAfterARecordOfTheEraBeforeHasReplacedALaterOne() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        store.copy();
+        byte[] earlier = store.read("tarragonring-order-leases/group-3")
+                .await()
+                .indefinitely()
+                .orElseThrow()
+                .value();
+        store.restoreCopy();
+        second.acquire(second.read().await().indefinitely()).await().indefinitely();
+        long version = second.read().await().indefinitely().orElseThrow().version();
+        store.write("tarragonring-order-leases/group-3", version, earlier)
+                .await()
+                .indefinitely();
+
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+
+        assertTrue(first.fence() > second.fence(), first.fence() + " after " + second.fence());
+    }
+
+    // Guards against a lease whose acquisition is lost, as its response was on its way when the store came back.
+    @Test
+    void acquisitionThatIsAnsweredAfterTheStoreCameBackDoesNotCount() {
+        store.copy();
+        store.pauseResponses(true);
+        first.acquire(Optional.empty()).subscribe().with(done -> {}, failure -> {});
+        store.restoreCopy();
+
+        store.resumeWrites();
+
+        assertFalse(first.isHeld());
+    }
+
     private GroupLease lease(String entry, boolean fencesChecked) {
         return new GroupLease(
                 3,
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/OrderLeaseManagerTest.java
@@ -27,6 +27,8 @@
     private static final HostPort ADDRESS = new HostPort("127.0.0.1", 1);
     private static final Duration START_TIME = Duration.ofSeconds(5);
 
+    private static final Duration TAKEOVER_TIME = GroupLease.VALIDITY.plusSeconds(3);
+
     private final ManualTime time = new ManualTime();
     private final PausableStore store = new PausableStore();
     private final Vertx vertx = Vertx.vertx();
@@ -83,6 +85,37 @@
         assertEquals(OrderGroups.GROUP_COUNT, releasedRecords());
     }
 
+    // Guards against two holders that alternate: the one before may not know yet that the store has lost its lease.
+    @Test
+    void ownAndReleasedRecordsOfAnEarlierEraAreTakenOverAfterTheHandoverDelay() {
+        manager.start();
+        time.advance(START_TIME);
+        store.copy();
+
+        store.restoreCopy();
+        assertEquals(0, manager.heldGroupCount());
+        time.advance(TAKEOVER_TIME.minusMillis(100));
+        assertEquals(0, manager.heldGroupCount());
+        time.advance(Duration.ofMillis(600));
+
+        assertEquals(OrderGroups.GROUP_COUNT, manager.heldGroupCount());
+    }
+
+    // Guards against a record that is absent because the store has lost it, and is taken for one that never existed.
+    @Test
+    void lostRecordsAreTakenOverAfterTheHandoverDelay() {
+        store.copy();
+        manager.start();
+        time.advance(START_TIME);
+
+        store.restoreCopy();
+        time.advance(TAKEOVER_TIME.minusMillis(100));
+        assertEquals(0, manager.heldGroupCount());
+        time.advance(Duration.ofMillis(600));
+
+        assertEquals(OrderGroups.GROUP_COUNT, manager.heldGroupCount());
+    }
+
     private OrderLeaseManager createManager() {
         GatewaySettings settings = new GatewaySettings(
                 SELF,
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/PausableStore.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/PausableStore.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreEra;
+import org.tarragonring.objects.StoreEras;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.objects.WatchBatch;
@@ -18,6 +21,9 @@
 
     private final Map<String, StoredObject> objects = new HashMap<>();
     private final List<Runnable> pausedWrites = new ArrayList<>();
+    private final StoreEras eras = new StoreEras();
+    private Map<String, StoredObject> copy = Map.of();
+    private long copiedRevision;
     private boolean writesPaused;
     private boolean responsesPaused;
     private boolean reachable = true;
@@ -33,6 +39,31 @@
         responsesPaused = isPaused;
     }
 
+    /** Copies all objects, in the first era of the store or a later one. */
+    void copy() {
+        eras.observe(new StoreEra(Math.max(1, era().number())));
+        copy = Map.copyOf(objects);
+        copiedRevision = revision;
+    }
+
+    /** Comes back from the last copy in a new era, in which revisions are given out again. */
+    void restoreCopy() {
+        objects.clear();
+        objects.putAll(copy);
+        revision = copiedRevision;
+        eras.observe(new StoreEra(era().number() + 1));
+    }
+
+    @Override
+    public StoreEra era() {
+        return eras.newest();
+    }
+
+    @Override
+    public void addEraListener(Consumer<StoreEra> listener) {
+        eras.addListener(listener);
+    }
+
     void resumeWrites() {
         writesPaused = false;
         List.copyOf(pausedWrites).forEach(Runnable::run);
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -377,6 +377,40 @@
         assertEquals(CREATION, store.writeCount());
     }
 
+    // Guards against a stream that is joined from two versions, as the store has lost the record of the one that left.
+    @Test
+    void versionThatTheStoreHasLostIsRecordedAgain() {
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+        store.copy();
+        entry.list("old-1", "v1");
+        time.advance(CHECKED);
+        entry.catalog.remove(new UpstreamId("old-1"));
+
+        store.restoreCopy();
+        assertFalse(entry.versions.isRecorded(SERVICE, V2.get()), "recorded in the era before");
+        time.advance(ServingVersions.CHECK_PERIOD);
+        restart();
+        entry.list("new-1", "v2");
+
+        assertEquals(Optional.empty(), entry.onlyVersion());
+    }
+
+    // Guards against a record that is absent after a restore, and makes streams of one version be refused.
+    @Test
+    void recordThatTheStoreHasLostAsAWholeIsRebuilt() {
+        store.delete(ServingVersions.KEY, 0).await().indefinitely();
+        store.copy();
+        restart();
+        entry.list("new-1", "v2");
+        time.advance(CHECKED);
+
+        store.restoreCopy();
+        time.advance(ServingVersions.CHECK_PERIOD);
+
+        assertEquals(V2, entry.onlyVersion());
+    }
+
     private void restart() {
         entry.versions.stop();
         entry = new Entry();
