--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -19,7 +19,7 @@
 
 /**
  * Watches the objects under one key prefix of the store. Lists them first and then waits for changes; lists them again
- * when the store no longer has the history since the last seen revision.
+ * when the store no longer has the history since the last seen revision, or has come back from an older copy.
  *
  * <p>Not thread-safe.
  *
@@ -62,6 +62,9 @@
     private long failedEvents;
     private Optional<Supplier<Runnable>> confirmations = Optional.empty();
 
+    /** The number of times that the store came back from an older copy; what was requested before is ignored. */
+    private long restoreCount;
+
     /**
      * Creates a watcher that is not started.
      *
@@ -110,9 +113,19 @@
 
     /** Starts with a listing and then watches until stopped. */
     public void start() {
+        store.addEraListener(era -> onStoreRestored());
         list();
     }
 
+    /** Lists the objects again. Lost ones are written again by their writers, so their deletion is held back. */
+    private void onStoreRestored() {
+        if (!stopped) {
+            restoreCount++;
+            recoveredMillis = clock.millis();
+            list();
+        }
+    }
+
     /** Stops after the current request; its result is still delivered. */
     public void stop() {
         stopped = true;
@@ -174,13 +187,28 @@
         }
         long sentMillis = clock.millis();
         Runnable confirm = requestSent();
+        long restores = restoreCount;
         Uni.createFrom()
                 .deferred(() -> store.snapshot(prefix))
                 .subscribe()
-                .with(snapshot -> runStep(() -> onSnapshot(snapshot, confirm)), failure -> {
-                    onRequestFailed(failure);
-                    timers.schedule(retryDelay(sentMillis), this::list);
-                });
+                .with(
+                        snapshot -> runUnlessRestored(restores, () -> runStep(() -> onSnapshot(snapshot, confirm))),
+                        failure -> runUnlessRestored(restores, () -> {
+                            onRequestFailed(failure);
+                            schedule(retryDelay(sentMillis), this::list);
+                        }));
+    }
+
+    private void runUnlessRestored(long restores, Runnable step) {
+        if (restores == restoreCount) {
+            step.run();
+        }
+    }
+
+    /** Schedules a request, which is not sent if the objects are listed again before. */
+    private void schedule(Duration delay, Runnable request) {
+        long restores = restoreCount;
+        timers.schedule(delay, () -> runUnlessRestored(restores, request));
     }
 
     private Runnable requestSent() {
@@ -193,7 +221,7 @@
             step.run();
         } catch (RuntimeException | StackOverflowError e) {
             LogEvent.UNEXPECTED_FAILURE.log("the watch of " + prefix, e);
-            timers.schedule(RETRY_DELAY, this::list);
+            schedule(RETRY_DELAY, this::list);
         }
     }
 
@@ -218,12 +246,13 @@
         long sentMillis = clock.millis();
         Duration wait = failing && confirmations.isPresent() ? SHORT_WATCH_TIMEOUT : watchTimeout;
         Runnable confirm = requestSent();
+        long restores = restoreCount;
         Uni.createFrom()
                 .deferred(() -> store.watch(prefix, revision, wait))
                 .subscribe()
                 .with(
-                        batch -> runStep(() -> onBatch(batch, confirm)),
-                        failure -> onWatchFailed(failure, revision, sentMillis));
+                        batch -> runUnlessRestored(restores, () -> runStep(() -> onBatch(batch, confirm))),
+                        failure -> runUnlessRestored(restores, () -> onWatchFailed(failure, revision, sentMillis)));
     }
 
     private void onWatchFailed(Throwable failure, long revision, long sentMillis) {
@@ -239,7 +268,7 @@
             watch(revision);
         } else {
             onRequestFailed(failure);
-            timers.schedule(retryDelay(sentMillis), () -> watch(revision));
+            schedule(retryDelay(sentMillis), () -> watch(revision));
         }
     }
 
@@ -254,7 +283,7 @@
         if (unchanged || awaitsReturns || batchDelay.isZero()) {
             watch(batch.revision());
         } else {
-            timers.schedule(batchDelay, () -> watch(batch.revision()));
+            schedule(batchDelay, () -> watch(batch.revision()));
         }
     }
 
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -172,10 +172,6 @@
         replica.onOrderState(replica.process(), 1, Map.of(), Optional.of(MODEL), nowMillis + durationMillis);
     }
 
-    private void addReplica(Set<ModelName> onDisk) {
-        addReplica(REPLICA, onDisk);
-    }
-
     private void addReplica(UpstreamId id, Set<ModelName> onDisk) {
         catalog.put(new ListedReplica(
                 id,
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/GroupLeaseTest.java
@@ -164,6 +164,111 @@
         assertTrue(second.read().await().indefinitely().orElseThrow().record().released());
     }
 
+    // Guards against a fencing token that goes back, and a renewal that names an outdated version.
+    @Test
+    void lateResponseToARenewalDoesNotReplaceALaterAcquisition() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        store.pauseResponses(true);
+        first.ensureValid().subscribe().with(valid -> {});
+        store.pauseResponses(false);
+        first.markLost("test");
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+
+        store.resumeWrites();
+
+        assertEquals(2, first.fence());
+        nowMillis += GroupLease.VALIDITY.toMillis();
+        assertTrue(first.ensureValid().await().indefinitely());
+    }
+
+    // Guards against an order that was begun before the process was suspended and is sent when it goes on.
+    @Test
+    void orderBegunBeforeASuspensionMayNotBeSentAfterIt() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        GroupLease.OrderPermit order = first.beginOrder().orElseThrow();
+        assertTrue(order.maySend());
+
+        suspendedMillis = 10_000;
+
+        assertFalse(order.maySend());
+    }
+
+    // Guards against an order that was begun under a lease which was lost and acquired again.
+    @Test
+    void orderBegunUnderAnEarlierAcquisitionMayNotBeSent() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        GroupLease.OrderPermit order = first.beginOrder().orElseThrow();
+        first.markLost("test");
+
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+
+        assertFalse(order.maySend());
+    }
+
+    // Guards against orders under a lease that the store no longer has.
+    @Test
+    void heldLeaseIsLostWhenTheStoreComesBackFromACopy() {
+        store.copy();
+        first.acquire(Optional.empty()).await().indefinitely();
+        GroupLease.OrderPermit order = first.beginOrder().orElseThrow();
+
+        store.restoreCopy();
+
+        assertFalse(first.isHeld());
+        assertFalse(order.maySend());
+        assertFalse(first.ensureValid().await().indefinitely());
+    }
+
+    // Guards against a token that comes twice, as the record with the last one is lost.
+    @Test
+    void fenceRisesAlthoughTheLastAcquisitionsAreLost() {
+        store.copy();
+        first.acquire(Optional.empty()).await().indefinitely();
+        first.markLost("test");
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+        store.restoreCopy();
+
+        second.acquire(second.read().await().indefinitely()).await().indefinitely();
+
+        assertTrue(second.fence() > first.fence(), second.fence() + " after " + first.fence());
+    }
+
+    // Guards against a token that comes twice, as a holder that does not know of the new era has replaced the record.
+    @Test
+    void fenceRisesAfterARecordOfTheEraBeforeHasReplacedALaterOne() {
+        first.acquire(Optional.empty()).await().indefinitely();
+        store.copy();
+        byte[] earlier = store.read("tarragonring-order-leases/group-3")
+                .await()
+                .indefinitely()
+                .orElseThrow()
+                .value();
+        store.restoreCopy();
+        second.acquire(second.read().await().indefinitely()).await().indefinitely();
+        long version = second.read().await().indefinitely().orElseThrow().version();
+        store.write("tarragonring-order-leases/group-3", version, earlier)
+                .await()
+                .indefinitely();
+
+        first.acquire(first.read().await().indefinitely()).await().indefinitely();
+
+        assertTrue(first.fence() > second.fence(), first.fence() + " after " + second.fence());
+    }
+
+    // Guards against a lease whose acquisition is lost, as its response was on its way when the store came back.
+    @Test
+    void acquisitionThatIsAnsweredAfterTheStoreCameBackDoesNotCount() {
+        store.copy();
+        store.pauseResponses(true);
+        first.acquire(Optional.empty()).subscribe().with(done -> {}, failure -> {});
+        store.restoreCopy();
+
+        store.resumeWrites();
+
+        assertFalse(first.isHeld());
+    }
+
     private GroupLease lease(String entry, boolean fencesChecked) {
         return new GroupLease(
                 3,
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/PausableStore.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/orders/PausableStore.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreEra;
+import org.tarragonring.objects.StoreEras;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.objects.WatchBatch;
@@ -18,7 +21,11 @@
 
     private final Map<String, StoredObject> objects = new HashMap<>();
     private final List<Runnable> pausedWrites = new ArrayList<>();
+    private final StoreEras eras = new StoreEras();
+    private Map<String, StoredObject> copy = Map.of();
+    private long copiedRevision;
     private boolean writesPaused;
+    private boolean responsesPaused;
     private boolean reachable = true;
     private long revision;
     private int writeCount;
@@ -27,6 +34,36 @@
         writesPaused = true;
     }
 
+    /** Executes the next writes at once, but holds back their responses until the writes are resumed. */
+    void pauseResponses(boolean isPaused) {
+        responsesPaused = isPaused;
+    }
+
+    /** Copies all objects, in the first era of the store or a later one. */
+    void copy() {
+        eras.observe(new StoreEra(Math.max(1, era().number())));
+        copy = Map.copyOf(objects);
+        copiedRevision = revision;
+    }
+
+    /** Comes back from the last copy in a new era, in which revisions are given out again. */
+    void restoreCopy() {
+        objects.clear();
+        objects.putAll(copy);
+        revision = copiedRevision;
+        eras.observe(new StoreEra(era().number() + 1));
+    }
+
+    @Override
+    public StoreEra era() {
+        return eras.newest();
+    }
+
+    @Override
+    public void addEraListener(Consumer<StoreEra> listener) {
+        eras.addListener(listener);
+    }
+
     void resumeWrites() {
         writesPaused = false;
         List.copyOf(pausedWrites).forEach(Runnable::run);
@@ -62,7 +99,12 @@
         return Uni.createFrom().emitter(emitter -> {
             Runnable work = () -> {
                 try {
-                    emitter.complete(writeNow(key, expectedVersion, value));
+                    long version = writeNow(key, expectedVersion, value);
+                    if (responsesPaused) {
+                        pausedWrites.add(() -> emitter.complete(version));
+                    } else {
+                        emitter.complete(version);
+                    }
                 } catch (StoreException e) {
                     emitter.fail(e);
                 }
