--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -54,8 +54,8 @@
                 checks.add(new Check(nowMillis + delay.toMillis(), action));
                 return () -> {};
             },
-            (service, model) -> Optional.of(new ModelSpec(
-                    model, 60, 0.5, storeLoadTime, Duration.ofMillis(800), Duration.ofMillis(400))));
+            (service, model) -> Optional.of(
+                    new ModelSpec(model, 60, 0.5, storeLoadTime, Duration.ofMillis(800), Duration.ofMillis(400))));
 
     // Guards against calls that are held for half of their time although nothing is loaded for them.
     @Test
