Hold the limits of teams over all entries together

Each team has an entry that coordinates its quota (rendezvous hashing). The others ask it for the tokens of a call when the call has been authenticated, while its body is read, and answer 429 at once if they are denied. Tokens of a call that ends without having been sent to a replica are returned.

Accounts begin empty and get their burst after one window; they fill in proportion to the entries that are alive, so that both sides of a partition grant no more than the limit. Returned tokens are credited only as far as the bucket would not have overflowed without their grant. Active only with [quota] in the settings and a rate in the configuration.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -176,6 +176,16 @@
             720,
             Logger.Level.WARN,
             "entry %s serves calls with keys=%s, the store confirmed the configuration as of %s ms ago"),
+    /** A team is over its limit; logged at most once a second and team. */
+    TEAM_OVER_LIMIT(
+            724, Logger.Level.INFO, "team %s is over its limit, refused %s calls since the previous line of the team"),
+    /** The entry that coordinates the quota of a team does not respond; logged at most once a second and team. */
+    QUOTA_COORDINATOR_SILENT(
+            725,
+            Logger.Level.WARN,
+            "entry %s, which coordinates the quota of team %s, does not respond, using the reserve of this entry"),
+    /** The entry starts or stops to coordinate the quota of a team. */
+    QUOTA_COORDINATED(726, Logger.Level.INFO, "entry %s coordinates the quota of team %s=%s, share of the limit %s"),
     /** An unexpected failure was caught. */
     UNEXPECTED_FAILURE(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
     /** An invariant was violated. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import org.tarragonring.gateway.planning.DemandAggregator;
 import org.tarragonring.gateway.planning.PlanningService;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.quota.QuotaService;
 import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.gateway.team.KeyedCalls;
@@ -89,6 +90,7 @@
     private final StreamVersions streamVersions;
     private final ServingVersions servingVersions;
     private final KeyedCalls keyedCalls;
+    private final QuotaService quotas;
     private final CallServer server;
     private final Function<StoredObject, Optional<ServingConfig>> configDecoder;
     private Optional<ServingConfig> config = Optional.empty();
@@ -143,6 +145,7 @@
                 new StreamVersions(settings.id(), settings.failureDomain(), mesh, clocks.monotonic(), timers);
         this.servingVersions = createServingVersions(dependencies);
         this.keyedCalls = new KeyedCalls(settings.id(), settings.keys(), this::config, clocks, timers, metrics);
+        this.quotas = QuotaService.create(settings, this::config, mesh, metrics, clocks, timers);
         this.server = new CallServer(
                 callContext(vertx, dependencies, ejections, random, metrics),
                 this::config,
@@ -211,6 +214,7 @@
                 settings.peerAddress(),
                 clocks.monotonic().millis() - startMillis);
         keyedCalls.start();
+        quotas.start();
         joinWhenReady();
     }
 
@@ -247,6 +251,7 @@
                 .thenAwait("calls in flight", this::drain)
                 .then("unfinished calls", server::endCalls)
                 .thenAwait("call server", server::stop)
+                .then("quotas", quotas::stop)
                 .thenAwait("mesh", mesh::stop)
                 .then("configuration watch", configWatcher::stop)
                 .then("replica watch", replicaWatcher::stop)
@@ -335,7 +340,8 @@
                 timers,
                 random::nextDouble,
                 metrics,
-                keyedCalls.authenticator());
+                keyedCalls.authenticator(),
+                quotas);
     }
 
     private ServingVersions createServingVersions(GatewayDependencies dependencies) {
@@ -426,6 +432,7 @@
             config = Optional.of(decoded);
             LogEvent.SERVING_CONFIG_ACTIVATED.log(
                     decoded.version(), decoded.hostCount(), decoded.services().size(), configWatcher.ageMillis());
+            quotas.onConfigChanged();
             catalog.notifyListeners();
         });
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.policy.budget.RetryBudgetSettings;
+import org.tarragonring.policy.quota.QuotaSettings;
 import org.tarragonring.policy.team.KeySettings;
 
 /**
@@ -25,6 +26,7 @@
  * @param shutdownLimit the maximum duration of a shutdown, not null
  * @param retryBudget the retry budget that all entries share, not null
  * @param keys the settings for the keys of teams, not null
+ * @param quotas the bounds within which the limits of teams are held, not null
  * @since 0.2.0
  */
 public record GatewaySettings(
@@ -40,7 +42,8 @@
         boolean fencesChecked,
         Duration shutdownLimit,
         RetryBudgetSettings retryBudget,
-        KeySettings keys) {
+        KeySettings keys,
+        QuotaSettings quotas) {
 
     /** The largest maximum of the length of ids; two of them fit into a message between entries. */
     public static final int LARGEST_MAX_ID_BYTES = 2_000;
@@ -62,10 +65,11 @@
         Objects.requireNonNull(shutdownLimit, "shutdownLimit");
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(keys, "keys");
+        Objects.requireNonNull(quotas, "quotas");
     }
 
     /**
-     * Creates settings for a deployment without bounds for the keys of teams.
+     * Creates settings for a deployment without bounds for the keys and quotas of teams.
      *
      * @param id the id of the entry, not null
      * @param failureDomain the failure domain of the entry, not null
@@ -106,6 +110,7 @@
                 fencesChecked,
                 shutdownLimit,
                 retryBudget,
-                KeySettings.OFF);
+                KeySettings.OFF,
+                QuotaSettings.OFF);
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/BodyReader.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/BodyReader.java
@@ -49,7 +49,7 @@
         }
     }
 
-    /** Receives the result of reading a body. Exactly one method is invoked, unless the caller disconnects before. */
+    /** Receives the result of reading a body. Exactly one method is invoked. */
     interface Listener {
 
         /** Handles a complete body, whose reservation must be released when it is no longer needed. */
@@ -63,6 +63,9 @@
 
         /** Handles a body that has not arrived in time. */
         void onTimeout();
+
+        /** Handles a caller that has disconnected before its body was complete. */
+        void onDisconnected();
     }
 
     private final class Reading {
@@ -132,6 +135,7 @@
             timeoutTask.cancel();
             open = false;
             reservation.release();
+            listener.onDisconnected();
         }
 
         private void reject(Runnable reason) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -25,6 +25,8 @@
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.quota.QuotaReservation;
+import org.tarragonring.gateway.quota.QuotaService;
 import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.gateway.team.CallAuthenticator;
@@ -88,6 +90,7 @@
     private final LocalResponses localResponses;
     private final BodyReader bodyReader;
     private final CallAuthenticator authenticator;
+    private final QuotaService quotas;
     private final ShutdownAdmission shutdownAdmission;
     private final Forwarder forwarder;
     private final DemandReporter demandReporter;
@@ -121,6 +124,7 @@
         this.clock = context.clock;
         this.random = context.random;
         this.authenticator = context.authenticator;
+        this.quotas = context.quotas;
         this.callerConnections = new CallerConnections(() -> limits().idleTimeout(), context.clock, context.timers);
         this.stallDetector = new StallDetector(context.clock, context.timers);
         this.timers = context.timers;
@@ -284,11 +288,13 @@
             refuse(request, head, caller.refusal().get());
             return;
         }
-        bodyReader.read(
-                request,
-                currentConfig.limits().maxBodyBytes(),
-                route.get().timeout(),
-                new BodyListener(request, head, currentConfig, route.get(), caller.team(), arrivalMillis));
+        QuotaReservation quota = quotas.reserve(caller.team(), head.tokenCount());
+        quota.whenRefused(millis -> refuse(request, head, CallAuthenticator.Refusal.overLimit(millis)));
+        if (!quota.isRefused()) {
+            Arrival call = new Arrival(request, head, currentConfig, route.get(), caller.team(), quota, arrivalMillis);
+            bodyReader.read(
+                    request, currentConfig.limits().maxBodyBytes(), route.get().timeout(), new BodyListener(call));
+        }
     }
 
     private void refuse(HttpServerRequest request, CallHead head, CallAuthenticator.Refusal refusal) {
@@ -300,21 +306,16 @@
         }
     }
 
-    private void forward(
-            HttpServerRequest request,
-            CallHead head,
-            ServingConfig currentConfig,
-            Route route,
-            Optional<Team> team,
-            Buffer body,
-            MemoryBudget.Reservation memory,
-            long arrivalMillis) {
+    private void forward(Arrival call, Buffer body, MemoryBudget.Reservation memory) {
+        Route route = call.route;
+        CallHead head = call.head;
         ServiceName service = route.selectService(random.getAsDouble());
         if (head.model().isPresent()
-                && !isKnown(currentConfig, service, head.model().get())) {
+                && !isKnown(call.config, service, head.model().get())) {
             memory.release();
+            call.quota.giveBack();
             refuseBeforeForwarding(
-                    request,
+                    call.request,
                     head,
                     "service %s has no model %s".formatted(service, head.model().get()),
                     NOT_READY_RETRY_AFTER_MILLIS);
@@ -326,21 +327,23 @@
         long firstEventTimeoutMillis =
                 Math.min(timeoutMillis, route.maxCallerWait().toMillis());
         Exchange exchange = new Exchange(
-                request,
+                call.request,
                 head,
                 route,
                 service,
-                currentConfig.teams().isPresent(),
-                team,
+                call.config.teams().isPresent(),
+                call.team,
                 body,
                 memory,
-                arrivalMillis,
-                arrivalMillis + timeoutMillis,
-                arrivalMillis + firstEventTimeoutMillis);
+                call.quota,
+                call.arrivalMillis,
+                call.arrivalMillis + timeoutMillis,
+                call.arrivalMillis + firstEventTimeoutMillis);
         if (!shutdownAdmission.admits(exchange)) {
             memory.release();
+            call.quota.giveBack();
             refuseBeforeForwarding(
-                    request,
+                    call.request,
                     head,
                     "the call may not end before this entry shuts down",
                     LocalResponses.SHUTDOWN_RETRY_AFTER_MILLIS);
@@ -375,57 +378,78 @@
         localResponses.sendUnavailable(request, reason, retryAfterMillis);
     }
 
+    /** A call that may be served once its body has arrived. */
+    private record Arrival(
+            HttpServerRequest request,
+            CallHead head,
+            ServingConfig config,
+            Route route,
+            Optional<Team> team,
+            QuotaReservation quota,
+            long arrivalMillis) {}
+
     /** Forwards a call whose body has arrived, or responds to one whose body has not. */
     private final class BodyListener implements BodyReader.Listener {
 
-        private final HttpServerRequest request;
-        private final CallHead head;
-        private final ServingConfig currentConfig;
-        private final Route route;
-        private final Optional<Team> team;
-        private final long arrivalMillis;
-
-        BodyListener(
-                HttpServerRequest request,
-                CallHead head,
-                ServingConfig currentConfig,
-                Route route,
-                Optional<Team> team,
-                long arrivalMillis) {
-            this.request = request;
-            this.head = head;
-            this.currentConfig = currentConfig;
-            this.route = route;
-            this.team = team;
-            this.arrivalMillis = arrivalMillis;
+        private final Arrival call;
+
+        BodyListener(Arrival call) {
+            this.call = call;
         }
 
         @Override
         public void onComplete(Buffer body, MemoryBudget.Reservation memory) {
-            forward(request, head, currentConfig, route, team, body, memory, arrivalMillis);
+            if (call.quota.isRefused()) {
+                memory.release();
+                return;
+            }
+            call.quota.whenRefused(millis -> {
+                memory.release();
+                refuse(call.request, call.head, CallAuthenticator.Refusal.overLimit(millis));
+            });
+            call.quota.whenReserved(() -> forwardUnlessClosed(body, memory));
+        }
+
+        /** Forwards a call, unless its caller has disconnected while the call waited for tokens. */
+        private void forwardUnlessClosed(Buffer body, MemoryBudget.Reservation memory) {
+            if (call.request.response().closed()) {
+                memory.release();
+                call.quota.giveBack();
+            } else {
+                forward(call, body, memory);
+            }
         }
 
         @Override
         public void onTooLong() {
+            call.quota.giveBack();
             localResponses.sendError(
-                    request,
+                    call.request,
                     LocalResponses.TOO_LARGE,
                     "the request body exceeds %d bytes"
-                            .formatted(currentConfig.limits().maxBodyBytes()));
-            request.connection().close();
+                            .formatted(call.config.limits().maxBodyBytes()));
+            call.request.connection().close();
         }
 
         @Override
         public void onNoMemory() {
+            call.quota.giveBack();
             refuseBeforeForwarding(
-                    request, head, "there is no memory for the request body", NO_MEMORY_RETRY_AFTER_MILLIS);
+                    call.request, call.head, "there is no memory for the request body", NO_MEMORY_RETRY_AFTER_MILLIS);
         }
 
         @Override
         public void onTimeout() {
-            LogEvent.CALL_REFUSED.logForCall(head.id(), "body-timeout", "not-run", "the request body is incomplete");
+            call.quota.giveBack();
+            LogEvent.CALL_REFUSED.logForCall(
+                    call.head.id(), "body-timeout", "not-run", "the request body is incomplete");
             localResponses.sendError(
-                    request, LocalResponses.REQUEST_TIMEOUT, "the request body has not arrived in time");
+                    call.request, LocalResponses.REQUEST_TIMEOUT, "the request body has not arrived in time");
+        }
+
+        @Override
+        public void onDisconnected() {
+            call.quota.giveBack();
         }
     }
 
@@ -448,6 +472,7 @@
      * @param random returns random numbers from 0 to 1, not null
      * @param metrics records metrics of calls, not null
      * @param authenticator finds the team of each call, not null
+     * @param quotas holds the limits of teams, not null
      */
     public record Context(
             Vertx vertx,
@@ -465,5 +490,6 @@
             Timers timers,
             DoubleSupplier random,
             GatewayMetrics metrics,
-            CallAuthenticator authenticator) {}
+            CallAuthenticator authenticator,
+            QuotaService quotas) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -13,6 +13,7 @@
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.call.CallerIdentity;
 import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.quota.QuotaReservation;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
@@ -44,7 +45,10 @@
 
     final Buffer body;
     /** The memory of the body, to be released when the call ends. */
-    final MemoryBudget.Reservation memory;
+    private final MemoryBudget.Reservation memory;
+
+    /** The tokens of the call's team, to be given back if the call ends without having been sent to a replica. */
+    private final QuotaReservation quota;
 
     final long arrivalMillis;
     /** The time at which the whole call times out, on the monotonic clock. */
@@ -98,6 +102,7 @@
             Optional<Team> team,
             Buffer body,
             MemoryBudget.Reservation memory,
+            QuotaReservation quota,
             long arrivalMillis,
             long deadlineMillis,
             long firstEventDeadlineMillis) {
@@ -110,6 +115,7 @@
         this.weights = head.model().map(model -> new WeightKey(service, model, head.adapter()));
         this.body = body;
         this.memory = memory;
+        this.quota = quota;
         this.arrivalMillis = arrivalMillis;
         this.deadlineMillis = deadlineMillis;
         this.firstEventDeadlineMillis = firstEventDeadlineMillis;
@@ -120,6 +126,14 @@
         return teamsConfigured ? new CallerIdentity(true, team.map(Team::name)) : CallerIdentity.WITHOUT_TEAMS;
     }
 
+    /** Releases what the call holds, when it has ended. */
+    void release() {
+        memory.release();
+        if (!reachedReplica) {
+            quota.giveBack();
+        }
+    }
+
     /** Returns the fingerprint of the request. Computes it on first use, as most calls never need it. */
     RequestFingerprint fingerprint() {
         if (fingerprint == null) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -451,7 +451,7 @@
     private void finish(Exchange exchange, int status, String outcome, String reason) {
         exchange.finished = true;
         calls.remove(exchange);
-        exchange.memory.release();
+        exchange.release();
         exchange.cancelTimeout.run();
         callerConnections.onCallEnded(exchange.request.connection());
         waiting.remove(exchange);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.IntConsumer;
 import java.util.stream.Collectors;
 
 import io.vertx.core.Vertx;
@@ -69,6 +70,7 @@
     private final EntryContacts contacts;
     private final DutyRanking ranking = new DutyRanking();
     private final Map<Class<? extends PeerMessage>, BiConsumer<EntryId, PeerMessage>> handlers = new HashMap<>();
+    private IntConsumer onListed = count -> {};
 
     /**
      * Creates a mesh that is not started.
@@ -124,6 +126,16 @@
         handlers.put(type, (from, message) -> handler.accept(from, type.cast(message)));
     }
 
+    /**
+     * Registers what receives the number of entries that are registered in the store, this one included, when this entry
+     * has joined.
+     *
+     * @param receiver receives the number, not null
+     */
+    public void onListed(IntConsumer receiver) {
+        onListed = Objects.requireNonNull(receiver, "receiver");
+    }
+
     /**
      * Opens the UDP socket and starts receiving messages.
      *
@@ -270,10 +282,13 @@
         store.list(ENTRY_PREFIX)
                 .subscribe()
                 .with(
-                        objects -> contacts.contact(objects.stream()
-                                .flatMap(object -> peerAddress(object).stream())
-                                .filter(address -> !address.equals(settings.peerAddress()))
-                                .toList()),
+                        objects -> {
+                            onListed.accept(objects.size());
+                            contacts.contact(objects.stream()
+                                    .flatMap(object -> peerAddress(object).stream())
+                                    .filter(address -> !address.equals(settings.peerAddress()))
+                                    .toList());
+                        },
                         failure -> timers.schedule(STORE_RETRY_DELAY, this::contactOthers));
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
@@ -78,6 +78,18 @@
         registry.counter("tarragonring.attempts.failed", "verdict", verdict).increment();
     }
 
+    /**
+     * Counts the tokens of calls for which the limit of their team was asked.
+     *
+     * @param team the label of the team, of which there must be few; not null
+     * @param outcome what became of the tokens, not null
+     * @param tokens the number of tokens
+     */
+    public void countQuotaTokens(String team, String outcome, long tokens) {
+        registry.counter("tarragonring.quota.tokens", "team", team, "outcome", outcome)
+                .increment(tokens);
+    }
+
     /** Counts a call that ended because its request is quarantined. */
     public void countQuarantined() {
         registry.counter("tarragonring.calls.quarantined").increment();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/CallAuthenticator.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/CallAuthenticator.java
@@ -18,6 +18,7 @@
 public final class CallAuthenticator {
 
     private static final int UNAUTHORIZED = 401;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
 
     /** Callers use another entry meanwhile; this one answers its next request to the store within about this time. */
@@ -91,5 +92,16 @@
      * @param reason the reason for callers, which does not contain the key; not null
      * @param retryAfterMillis the time after which the call may be sent again in milliseconds, 0 if it must not be
      */
-    public record Refusal(int status, String code, String reason, long retryAfterMillis) {}
+    public record Refusal(int status, String code, String reason, long retryAfterMillis) {
+
+        /**
+         * Creates the response to a call whose team is over its limit.
+         *
+         * @param retryAfterMillis the time after which there are tokens in milliseconds, above 0
+         * @return the response, never null
+         */
+        public static Refusal overLimit(long retryAfterMillis) {
+            return new Refusal(TOO_MANY_REQUESTS, "over-limit", "the team is over its limit", retryAfterMillis);
+        }
+    }
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/follow/StoreWatcherTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/follow/StoreWatcherTest.java
@@ -141,6 +141,37 @@
         assertEquals(1, store.pending.size());
     }
 
+    // Guards against a confirmation of objects that were not reported yet, or as of a time after their request.
+    @Test
+    void answeredRequestIsConfirmedAfterItsObjectsWereReported() {
+        List<String> confirmed = new ArrayList<>();
+        watcher.onRequestSent(() -> {
+            long sentMillis = time.millis();
+            return () -> confirmed.add(sentMillis + " " + changed);
+        });
+        store.answer(new WatchBatch(2, List.of(), List.of()));
+        assertEquals(List.of(), confirmed, "the request was sent before");
+        long sentMillis = time.millis();
+        time.advance(Duration.ofSeconds(3));
+
+        store.answer(new WatchBatch(3, List.of(object("a")), List.of()));
+
+        assertEquals(List.of(sentMillis + " [things/a]"), confirmed);
+    }
+
+    // Guards against a second failure that cannot be made up for before the confirmation is too old.
+    @Test
+    void watchAfterAFailedOneIsShortIfConfirmationsMatter() {
+        watcher.onRequestSent(() -> () -> {});
+        store.fail(Kind.UNAVAILABLE);
+        time.advance(WITHIN_A_SECOND);
+        assertTrue(store.lastWait.compareTo(Duration.ofMillis(100)) < 0, store.lastWait.toString());
+
+        store.answer(new WatchBatch(2, List.of(), List.of()));
+
+        assertEquals(WATCH_TIMEOUT, store.lastWait);
+    }
+
     private void onChanged(String key) {
         changed.add(key);
         failIfTold();
@@ -168,6 +199,7 @@
         private List<StoredObject> listed = List.of();
         private Optional<RuntimeException> nextRequestFailure = Optional.empty();
         private int sentCount;
+        private Duration lastWait = Duration.ZERO;
 
         void answer(WatchBatch batch) {
             pending.remove().complete(batch);
@@ -185,6 +217,7 @@
         @Override
         public Uni<WatchBatch> watch(String prefix, long afterRevision, Duration wait) {
             sentCount++;
+            lastWait = wait;
             if (nextRequestFailure.isPresent()) {
                 RuntimeException failure = nextRequestFailure.get();
                 nextRequestFailure = Optional.empty();
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.quota.QuotaReservation;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
@@ -131,6 +132,7 @@
                 Optional.empty(),
                 null,
                 null,
+                QuotaReservation.unlimited(),
                 nowMillis,
                 nowMillis + 15_000,
                 nowMillis + 10_000);
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/ShutdownAdmissionTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/ShutdownAdmissionTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.tarragonring.gateway.ManualTime;
 import org.tarragonring.gateway.call.CallHead;
+import org.tarragonring.gateway.quota.QuotaReservation;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.config.Route;
@@ -101,6 +102,7 @@
                 Optional.empty(),
                 Buffer.buffer(),
                 new MemoryBudget(0).reserve(),
+                QuotaReservation.unlimited(),
                 time.millis(),
                 deadlineMillis,
                 deadlineMillis);
