--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/QuotaService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/QuotaService.java
@@ -41,6 +41,9 @@
     /** The interval in which unused tokens are returned, entries counted and accounts closed. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
 
+    /** The time after the start in which this entry learns of the others, and would open the accounts of all teams. */
+    private static final Duration JOIN_TIME = Duration.ofSeconds(1);
+
     /** The interval in which accounts are opened although the number of entries has not changed. */
     private static final Duration OPEN_INTERVAL = Duration.ofSeconds(2);
 
@@ -61,6 +64,7 @@
     private final long firstSequence;
     private final Map<TeamName, TeamQuota> quotas = new HashMap<>();
     private final Map<TeamName, CoordinatedAccount> accounts = new HashMap<>();
+    private final long createdMillis;
     private Timers.Task checks = () -> {};
     private long openedMillis;
     private int openedAlive;
@@ -116,7 +120,8 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.firstSequence = firstSequence;
-        this.openedMillis = clock.millis();
+        this.createdMillis = clock.millis();
+        this.openedMillis = createdMillis - OPEN_INTERVAL.toMillis();
         this.entryShare = new EntryShare(clock);
     }
 
@@ -243,9 +248,10 @@
      */
     private void openAccounts() {
         int alive = peers.aliveCount();
-        boolean isDue = clock.millis() - openedMillis >= OPEN_INTERVAL.toMillis();
+        boolean isDue = alive != openedAlive || clock.millis() - openedMillis >= OPEN_INTERVAL.toMillis();
+        boolean isJoining = clock.millis() - createdMillis < JOIN_TIME.toMillis();
         Optional<TeamDirectory> teams = config.get().flatMap(ServingConfig::teams);
-        if (teams.isEmpty() || alive == openedAlive && !isDue) {
+        if (teams.isEmpty() || isJoining || !isDue) {
             return;
         }
         openedMillis = clock.millis();
