--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/LoadExpectationTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.quota.QuotaReservation;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
@@ -220,6 +221,7 @@
                 Optional.empty(),
                 null,
                 null,
+                QuotaReservation.unlimited(),
                 arrivalMillis,
                 arrivalMillis + 15_000,
                 arrivalMillis + 10_000);
