Tell callers that waited in vain the usual wait, and not that they may come back at once

Slots also began before the expected end of the shortage if that was after a sixth of the caller's time.

Change: the expected wait counts as a whole for a refused call. Slots begin at the expected end if the caller's third of its time leaves room for them after it.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
@@ -172,20 +172,12 @@
      */
     public boolean isTooLate(Optional<FairCall> call, Duration delay, long latestMillis) {
         return call.filter(known -> {
-                    long expectedMillis = expectedWaitMillis(known).orElse(0);
+                    long expectedMillis = recovery(known).expectedWaitMillis().orElse(0) - waitedMillis(known);
                     return clock.millis() + Math.max(delay.toMillis(), expectedMillis) >= latestMillis;
                 })
                 .isPresent();
     }
 
-    /** Returns how much longer a call is expected to wait, empty if it is not known. */
-    private OptionalLong expectedWaitMillis(FairCall call) {
-        OptionalLong expectedMillis = recovery(call).expectedWaitMillis();
-        return expectedMillis.isEmpty()
-                ? expectedMillis
-                : OptionalLong.of(Math.max(0, expectedMillis.getAsLong() - waitedMillis(call)));
-    }
-
     private long waitedMillis(FairCall call) {
         long now = clock.millis();
         return now - call.waitingSinceMillis.orElse(now);
@@ -229,7 +221,9 @@
 
     private long shortageMillis(FairCall call) {
         OptionalLong loadMillis = call.weights.map(this::loadMillis).orElse(OptionalLong.empty());
-        return loadMillis.orElseGet(() -> expectedWaitMillis(call).orElse(DEFAULT_SHORTAGE_MILLIS));
+        // A call that has waited in vain is as far from capacity as a new one: how long it waited tells nothing of the
+        // end.
+        return loadMillis.orElseGet(() -> recovery(call).expectedWaitMillis().orElse(DEFAULT_SHORTAGE_MILLIS));
     }
 
     /** Returns the time until the first load of a model ends that no replica holds, empty if there is none. */
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/CallFairnessTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/CallFairnessTest.java
@@ -165,6 +165,17 @@
         assertTrue(fairness.isTooLate(late, Duration.ofSeconds(3), time.millis() + 2_000));
     }
 
+    // Guards against a caller that waited in vain at full replicas and is told to come back at once.
+    @Test
+    void callerThatWaitedInVainComesBackAfterTheUsualWait() {
+        Optional<FairCall> call = call(Optional.of(FIRST), QUERIES);
+        fairness.onNoRoom(call);
+        time.advance(Duration.ofMillis(3_000));
+        long retryAfterMillis = fairness.refuse(call, 1_000);
+
+        assertTrue(retryAfterMillis >= 3_000 && retryAfterMillis <= 4_000, retryAfterMillis + " ms");
+    }
+
     @Test
     void refusalsAreMeasuredFromTheArrival() {
         Optional<FairCall> call = call(Optional.of(FIRST), QUERIES);
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/fairness/RetryAfterSchedule.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/fairness/RetryAfterSchedule.java
@@ -34,8 +34,8 @@
     }
 
     /**
-     * Returns the time after which a caller is to come back. If the shortage ends too late for the caller, the slots fill the
-     * second half of the time that the caller waits at most.
+     * Returns the time after which a caller is to come back. If the shortage ends too late for the caller, the slots end
+     * with the longest time that the caller waits, of which they take half at most.
      *
      * @param shortageMillis the expected time until the shortage ends, 0 or more
      * @param intervalMillis the time after that within which the refused calls can be served, 0 or more
@@ -45,8 +45,8 @@
      */
     public static long retryAfterMillis(long shortageMillis, long intervalMillis, double place, long remainingMillis) {
         long latestMillis = Math.max(0, remainingMillis / REMAINING_TIME_DIVISOR);
-        long startMillis = Math.min(Math.max(shortageMillis, MIN_RETRY_MILLIS), latestMillis / 2);
-        long lengthMillis = Math.min(intervalMillis, latestMillis - startMillis);
+        long lengthMillis = Math.min(intervalMillis, latestMillis / 2);
+        long startMillis = Math.min(Math.max(shortageMillis, MIN_RETRY_MILLIS), latestMillis - lengthMillis);
         return startMillis + (long) (clamp(place) * lengthMillis);
     }
 
