Keep waits for loads and for room apart, and count no failed call as lack of capacity

Cause, found on reading: calls that had waited 3 s for a load made the expected wait at full replicas 3 s, so that calls which replicas reject for a moment would have been refused at once. A call that broke off in the middle counted as one for which there was no capacity.

Change: CapacityRecovery is kept by service, model and what calls wait for. Calls that may have run are not counted.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/CallFairness.java
@@ -30,8 +30,9 @@
 import org.tarragonring.time.MonotonicClock;
 
 /**
- * Decides for the calls of this entry how urgent they are, in which order they are sent, and when refused ones come back. Calls that arrived while the configuration had no teams, for which
- * the argument is empty, are treated as if this class did not exist.
+ * Decides for the calls of this entry how urgent they are, in which order they are sent, and when refused ones come back.
+ * Calls that arrived while the configuration had no teams, for which the argument is empty, are treated as if this class did
+ * not exist.
  *
  * <p>Not thread-safe.
  *
@@ -139,13 +140,19 @@
     }
 
     /**
-     * Records that a call waits until replicas have room for it or hold its weights.
+     * Records that a call waits until a replica holds its weights.
      *
      * @param call the call, not null
      */
-    public void onWaiting(Optional<FairCall> call) {
-        call.filter(known -> known.waitingSinceMillis.isEmpty())
-                .ifPresent(known -> known.waitingSinceMillis = OptionalLong.of(clock.millis()));
+    public void onWaitingForLoad(Optional<FairCall> call) {
+        call.ifPresent(known -> startWaiting(known, true));
+    }
+
+    private void startWaiting(FairCall call, boolean isForLoad) {
+        if (call.waitingSinceMillis.isEmpty()) {
+            call.waitingSinceMillis = OptionalLong.of(clock.millis());
+            call.waitsForLoad = isForLoad;
+        }
     }
 
     /**
@@ -154,7 +161,7 @@
      * @param call the call, not null
      */
     public void onNoRoom(Optional<FairCall> call) {
-        onWaiting(call);
+        call.ifPresent(known -> startWaiting(known, false));
         call.filter(known -> !known.lacksCapacity).ifPresent(known -> {
             known.lacksCapacity = true;
             recovery(known).onRefused();
@@ -163,7 +170,8 @@
     }
 
     /**
-     * Checks if it is known that no replica will have room for a call in time.
+     * Checks if it is known that no replica will have room for a call in time. How long calls waited for a load tells nothing
+     * of that.
      *
      * @param call the call, not null
      * @param delay the time after which the call would be sent again, not null
@@ -172,7 +180,9 @@
      */
     public boolean isTooLate(Optional<FairCall> call, Duration delay, long latestMillis) {
         return call.filter(known -> {
-                    long expectedMillis = recovery(known).expectedWaitMillis().orElse(0) - waitedMillis(known);
+                    long expectedMillis = known.waitsForLoad
+                            ? 0
+                            : recovery(known).expectedWaitMillis().orElse(0) - waitedMillis(known);
                     return clock.millis() + Math.max(delay.toMillis(), expectedMillis) >= latestMillis;
                 })
                 .isPresent();
@@ -221,8 +231,7 @@
 
     private long shortageMillis(FairCall call) {
         OptionalLong loadMillis = call.weights.map(this::loadMillis).orElse(OptionalLong.empty());
-        // A call that has waited in vain is as far from capacity as a new one: how long it waited tells nothing of the
-        // end.
+        // How long a call has waited in vain tells nothing of the end, so that the expected wait counts as a whole.
         return loadMillis.orElseGet(() -> recovery(call).expectedWaitMillis().orElse(DEFAULT_SHORTAGE_MILLIS));
     }
 
@@ -239,7 +248,7 @@
     }
 
     private CapacityRecovery recovery(FairCall call) {
-        CapacityKey key = new CapacityKey(call.service, call.weights.map(WeightKey::model));
+        CapacityKey key = new CapacityKey(call.service, call.weights.map(WeightKey::model), call.waitsForLoad);
         return recoveries.computeIfAbsent(key, unused -> new CapacityRecovery(clock));
     }
 
@@ -301,6 +310,9 @@
                 config.routes().stream().map(Route::priority).toList());
     }
 
-    /** What needs the same capacity: the calls of a service that need no model, or those that need the same one. */
-    private record CapacityKey(ServiceName service, Optional<ModelName> model) {}
+    /**
+     * What needs the same capacity: the calls of a service that need no model, or those that need the same one and wait for the
+     * same, a load or room.
+     */
+    private record CapacityKey(ServiceName service, Optional<ModelName> model, boolean isForLoad) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/FairCall.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/fairness/FairCall.java
@@ -34,7 +34,6 @@
     final long tokens;
     final long arrivalMillis;
     final long deadlineMillis;
-    final long firstEventDeadlineMillis;
 
     /** The position of the call among those of its team, from 0 to 1; drawn when the call is admitted. */
     double position;
@@ -45,6 +44,9 @@
     /** Since when the call waits for capacity, on the monotonic clock; empty if it has not waited. */
     OptionalLong waitingSinceMillis = OptionalLong.empty();
 
+    /** Whether it waits for a load, and not for room at a replica. */
+    boolean waitsForLoad;
+
     /** Whether a replica has begun to respond. */
     boolean served;
 
@@ -61,8 +63,6 @@
      * @param size the size of the call as its caller tells, empty if it does not; not null
      * @param arrivalMillis the time of arrival, on the monotonic clock
      * @param deadlineMillis the time at which the call times out, on the monotonic clock
-     * @param firstEventDeadlineMillis the time at which the caller leaves unless the response has begun, on the monotonic
-     *     clock
      */
     public FairCall(
             Optional<Team> team,
@@ -71,8 +71,7 @@
             Optional<WeightKey> weights,
             Optional<TokenCount> size,
             long arrivalMillis,
-            long deadlineMillis,
-            long firstEventDeadlineMillis) {
+            long deadlineMillis) {
         this.team = Objects.requireNonNull(team, "team");
         this.route = Objects.requireNonNull(route, "route");
         this.service = Objects.requireNonNull(service, "service");
@@ -80,7 +79,6 @@
         this.tokens = Math.min(MAX_TOKENS, size.map(TokenCount::total).orElseGet(this::plainTokens));
         this.arrivalMillis = arrivalMillis;
         this.deadlineMillis = deadlineMillis;
-        this.firstEventDeadlineMillis = firstEventDeadlineMillis;
     }
 
     private long plainTokens() {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -117,15 +117,8 @@
         this.deadlineMillis = deadlineMillis;
         this.firstEventDeadlineMillis = firstEventDeadlineMillis;
         this.fairCall = teamsConfigured
-                ? Optional.of(new FairCall(
-                        team,
-                        route,
-                        service,
-                        weights,
-                        head.tokenCount(),
-                        arrivalMillis,
-                        deadlineMillis,
-                        firstEventDeadlineMillis))
+                ? Optional.of(
+                        new FairCall(team, route, service, weights, head.tokenCount(), arrivalMillis, deadlineMillis))
                 : Optional.empty();
     }
 
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -299,7 +299,7 @@
             return;
         }
         waiting.add(exchange);
-        fairness.onWaiting(exchange.fairCall);
+        fairness.onWaitingForLoad(exchange.fairCall);
         if (!exchange.loadCheckScheduled) {
             exchange.loadCheckScheduled = true;
             loadExpectation.scheduleChecks(exchange, waiting::contains, reason -> refuse(exchange, reason));
@@ -415,7 +415,9 @@
     }
 
     private void refuse(Exchange exchange, String reason) {
-        refuse(exchange, reason, fairness.refuse(exchange.fairCall, DEFAULT_RETRY_AFTER_MILLIS));
+        // The failure of a call that may have run is no lack of capacity, and it gets no Retry-After.
+        boolean mayHaveRun = exchange.responseStarted || exchange.possibleRuns > 0;
+        refuse(exchange, reason, mayHaveRun ? 0 : fairness.refuse(exchange.fairCall, DEFAULT_RETRY_AFTER_MILLIS));
     }
 
     /** Ends a call that is not sent to a replica again, as not run unless an earlier attempt may have run. */
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/CallFairnessTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/CallFairnessTest.java
@@ -165,6 +165,20 @@
         assertTrue(fairness.isTooLate(late, Duration.ofSeconds(3), time.millis() + 2_000));
     }
 
+    // Guards against calls that replicas reject for a moment and that are refused because others waited long for a
+    // load.
+    @Test
+    void waitsForALoadTellNothingOfFullReplicas() {
+        Optional<FairCall> waiting = modelCall(QUERIES);
+        fairness.onWaitingForLoad(waiting);
+        time.advance(Duration.ofMillis(3_000));
+        fairness.onServed(waiting);
+        Optional<FairCall> rejected = modelCall(QUERIES);
+        fairness.onNoRoom(rejected);
+
+        assertFalse(fairness.isTooLate(rejected, Duration.ofMillis(40), time.millis() + 2_000));
+    }
+
     // Guards against a caller that waited in vain at full replicas and is told to come back at once.
     @Test
     void callerThatWaitedInVainComesBackAfterTheUsualWait() {
@@ -212,7 +226,7 @@
     }
 
     private long sized(Team team, Optional<TokenCount> size) {
-        return new FairCall(Optional.of(team), QUERIES, SERVICE, Optional.empty(), size, 0, 0, 0).tokens;
+        return new FairCall(Optional.of(team), QUERIES, SERVICE, Optional.empty(), size, 0, 0).tokens;
     }
 
     private Optional<FairCall> call(Optional<Team> team, Route route) {
@@ -221,8 +235,7 @@
 
     private Optional<FairCall> call(Optional<Team> team, Route route, Optional<WeightKey> weights) {
         long now = time.millis();
-        return Optional.of(
-                new FairCall(team, route, SERVICE, weights, Optional.empty(), now, now + 15_000, now + 4_000));
+        return Optional.of(new FairCall(team, route, SERVICE, weights, Optional.empty(), now, now + 15_000));
     }
 
     private static ServingConfig config() {
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/FairnessMetricsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/fairness/FairnessMetricsTest.java
@@ -92,7 +92,6 @@
                 Optional.empty(),
                 Optional.empty(),
                 0,
-                0,
                 0);
     }
 }
