Spread local checkpoints of models in steady demand over failure domains

A model got a second local checkpoint only from twice the mean call rate per replica, wherever its replica was, so most models in steady demand were gone with one replica for as long as a load from the weight store takes.

CheckpointSpread compares what the loss of a replica, or of a failure domain, costs callers (steady call rate x load time from the weight store, weighted by the likelihood of the loss) with what the load costs the calls of other models on the chosen replica and at the weight store. Copies go to replicas with little demand, the most costly loss first, in another failure domain if there is one. They use at most half of the store's loads at full speed, and none while calls wait unplanned or replicas are still being listed. The existing second checkpoint of very busy models prefers another failure domain.

The likelihoods are chosen, not measured: 0.5 for a replica, the inverse of the existing factor of two, and 0.05 for a domain.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -150,6 +150,11 @@
             Logger.Level.INFO,
             "planning a second load of model %s on replica %s within %s ms, the load in progress takes %s ms more, waiting"
                     + " calls %s"),
+    /** A further local checkpoint of a model is fetched, in case a replica or a failure domain is lost. */
+    CHECKPOINT_SPREAD(
+            429,
+            Logger.Level.INFO,
+            "fetching another checkpoint of model %s to replica %s from the weight store, %s calls a second"),
     /** A serving configuration was activated. */
     SERVING_CONFIG_ACTIVATED(
             610,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -228,7 +228,7 @@
                 controllable);
     }
 
-    /** Logs why a load is planned that a load in progress would have prevented. */
+    /** Logs why a load is planned although the model is being loaded, or is on a replica, already. */
     private static void logReason(PlannedLoad load, AggregateDemand called, List<ReplicaSnapshot> snapshots) {
         if (load.reason() == PlannedLoad.Reason.SOONER_CHECKPOINT) {
             long remainingMillis = snapshots.stream()
@@ -242,6 +242,8 @@
                     load.expectedDurationMillis(),
                     remainingMillis,
                     called.waitingCalls());
+        } else if (load.reason() == PlannedLoad.Reason.SPREAD_COPY) {
+            LogEvent.CHECKPOINT_SPREAD.log(load.model(), load.replicaId(), "%.1f".formatted(called.callsPerSecond()));
         }
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -31,7 +31,7 @@
     private static final double ABSENCE_SECONDS = 3;
 
     /** The cost of a call that misses its latency objective, as caller waiting time. */
-    private static final double MISSED_CALL_MILLIS = 3_000;
+    static final double MISSED_CALL_MILLIS = 3_000;
 
     /** The cost of each millisecond in which a replica cannot load anything, as it waits for calls or loads a model. */
     private static final double BLOCKED_WEIGHT = 1.5;
@@ -193,6 +193,19 @@
         return delayCostMillis(callsPerSecond, loadMillis);
     }
 
+    /**
+     * Returns what it costs the calls of models without any local checkpoint that the weight store starts no other load.
+     *
+     * @param models the models without a local checkpoint
+     * @param loadMillis how long the store is in use
+     * @return the cost in milliseconds of callers' waiting
+     */
+    double blockedStoreCostMillis(Collection<ModelName> models, long loadMillis) {
+        double callsPerSecond =
+                models.stream().mapToDouble(this::expectedCallsPerSecond).sum();
+        return delayCostMillis(callsPerSecond, loadMillis);
+    }
+
     private static double delayCostMillis(double callsPerSecond, long loadMillis) {
         return callsPerSecond * loadMillis / MILLIS_PER_SECOND * Math.min(loadMillis / 2.0, MISSED_CALL_MILLIS);
     }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/LoadOptions.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/LoadOptions.java
@@ -113,6 +113,11 @@
         return replica.availableInMillis() + loadTime(replica.state(), model).toMillis();
     }
 
+    /** Returns the models that the engine knows. */
+    Set<ModelName> models() {
+        return engine.models().keySet();
+    }
+
     /** Returns the specification of a model, empty if the engine does not know it. */
     Optional<ModelSpec> spec(ModelName model) {
         return Optional.ofNullable(engine.models().get(model));
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -87,6 +87,9 @@
             pass.scaleOutBusyModels();
         }
         pass.replicateBusyCheckpoints();
+        if (limits.maySpeculate() && !pass.hasUnplannedWaitingCalls()) {
+            pass.spreadCheckpoints();
+        }
         if (limits.maySpeculate()) {
             pass.fetchMissingCheckpoints();
         }
@@ -107,6 +110,7 @@
         private final ExpectedLoads expectedLoads = new ExpectedLoads();
         private final LoadOptions options;
         private final SlowLoads slowLoads;
+        private final CheckpointSpread spread;
         private final List<PlannedLoad> plannedLoads = new ArrayList<>();
         private final StoreLoadLimits limits;
         private int storeLoads;
@@ -120,6 +124,7 @@
                     new EvictionCosts(replicas, demand, engine.models().size());
             this.options = new LoadOptions(engine, demand, evictionCosts);
             this.slowLoads = new SlowLoads(options, evictionCosts, expectedLoads);
+            this.spread = new CheckpointSpread(replicas, demand, options);
             for (ReplicaSnapshot replica : replicas) {
                 if (replica.controllable()) {
                     candidates.add(replica);
@@ -261,11 +266,30 @@
                     PlannedLoad.Reason.SINGLE_COPY);
         }
 
+        /** Fetches further checkpoints of models whose loss would cost callers more than the load costs other calls. */
+        void spreadCheckpoints() {
+            int maxStoreLoads = Math.min(MAX_STORE_LOADS_FOR_BUSY_MODELS, Math.max(1, limits.maxConcurrentLoads() / 2));
+            for (ModelName model : loadable(spread.mostCostlyLossFirst())) {
+                if (storeLoads < maxStoreLoads) {
+                    planLoad(model, PlannedLoad.Reason.SPREAD_COPY);
+                }
+            }
+        }
+
+        private boolean isWorthSpreading(LoadOption option, ModelName model) {
+            boolean isNewCopy = option.replica().state().nearestTier(model) == CheckpointTier.REMOTE;
+            boolean blocksStore = storeLoads + 1 >= limits.maxConcurrentLoads();
+            double costMillis = option.othersCostMillis()
+                    + evictionCosts.blockedCheckpointsCostMillis(option.replica(), model, option.durationMillis())
+                    + (blocksStore
+                            ? evictionCosts.blockedStoreCostMillis(spread.withoutCheckpoint(), option.durationMillis())
+                            : 0);
+            return isNewCopy && spread.worthMillis(model, option.replica()) > costMillis;
+        }
+
         void fetchMissingCheckpoints() {
-            Set<ModelName> missing = new HashSet<>(engine.models().keySet());
-            missing.removeAll(checkpointReplicas().keySet());
             planFetches(
-                    List.copyOf(missing),
+                    List.copyOf(spread.withoutCheckpoint()),
                     options.isIdle() ? Math.max(1, limits.maxConcurrentLoads() / 2) : MAX_STORE_LOADS_IN_TRAFFIC,
                     PlannedLoad.Reason.NO_COPY);
         }
@@ -315,7 +339,9 @@
                     .flatMap(replica -> options.find(replica, model, reason).stream())
                     .filter(option ->
                             reason != PlannedLoad.Reason.SOONER_CHECKPOINT || slowLoads.isWorthReplacing(option, model))
-                    .min(Comparator.comparingDouble(LoadOption::costMillis));
+                    .filter(option -> reason != PlannedLoad.Reason.SPREAD_COPY || isWorthSpreading(option, model))
+                    .min(Comparator.comparingDouble(option -> option.costMillis()
+                            - (reason.isCopy() ? spread.domainWorthMillis(model, option.replica()) : 0)));
             best.ifPresent(option -> {
                 if (option.replica().isAvailable()) {
                     addLoad(option, model, reason);
@@ -334,7 +360,7 @@
         /** Checks if a store load, which blocks the replica for seconds, is justified. */
         private boolean isStoreLoadWorthwhile(ReplicaSnapshot replica, ModelName model, PlannedLoad.Reason reason) {
             if (reason == PlannedLoad.Reason.NO_COPY
-                    || reason == PlannedLoad.Reason.SINGLE_COPY
+                    || reason.isCopy()
                     || replica.state().residents().isEmpty()) {
                 return true;
             }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlannedLoad.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlannedLoad.java
@@ -48,7 +48,14 @@
         /** No replica has the checkpoint on disk or in memory, so the first call would wait for the weight store. */
         NO_COPY,
         /** Only one replica has the checkpoint of a busy model, so calls would wait for the store if it were lost. */
-        SINGLE_COPY;
+        SINGLE_COPY,
+        /** The loss of a replica or of a failure domain would cost the model's callers more than a further checkpoint. */
+        SPREAD_COPY;
+
+        /** Returns whether the load is for a further checkpoint of the model. */
+        boolean isCopy() {
+            return this == SINGLE_COPY || this == SPREAD_COPY;
+        }
 
         /** Returns whether calls wait for a model that no replica has. */
         boolean isForWaitingCalls() {
