Let the planner take the speed of replicas into account

A quarter of the replicas of a deployment runs at less than half the speed of the others, and the planner counted each as a whole one.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -156,6 +156,7 @@
                 this::config,
                 clocks.monotonic(),
                 timers,
+                replica -> 1,
                 metrics);
         Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout());
         this.quarantine = new RequestQuarantine(
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.mesh.Mesh;
@@ -76,6 +77,7 @@
     private final Supplier<Optional<ServingConfig>> config;
     private final MonotonicClock clock;
     private final Timers timers;
+    private final ToDoubleFunction<UpstreamId> replicaSpeed;
     private final GatewayMetrics metrics;
     private final Map<ServiceName, StoreLoadBudget> storeLoadBudgets = new HashMap<>();
     private final Map<ServiceName, StoreConcurrency> storeConcurrencies = new HashMap<>();
@@ -96,6 +98,7 @@
      * @param config returns the active configuration, empty if there is none yet; not null
      * @param clock the monotonic clock, not null
      * @param timers runs periodic tasks, not null
+     * @param replicaSpeed returns the speed of a replica relative to an ordinary one, 1 if it is not known; not null
      * @param metrics counts the planned loads, not null
      */
     public PlanningService(
@@ -108,6 +111,7 @@
             Supplier<Optional<ServingConfig>> config,
             MonotonicClock clock,
             Timers timers,
+            ToDoubleFunction<UpstreamId> replicaSpeed,
             GatewayMetrics metrics) {
         this.self = Objects.requireNonNull(self, "self");
         this.mesh = Objects.requireNonNull(mesh, "mesh");
@@ -118,6 +122,7 @@
         this.config = Objects.requireNonNull(config, "config");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
+        this.replicaSpeed = Objects.requireNonNull(replicaSpeed, "replicaSpeed");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.pendingLoads = new PendingLoads(clock);
     }
@@ -225,7 +230,8 @@
                 inProgress.map(PendingLoads.LoadInProgress::model),
                 inProgress.map(PendingLoads.LoadInProgress::remainingMillis).orElse(0L),
                 inProgress.map(PendingLoads.LoadInProgress::overdue).orElse(false),
-                controllable);
+                controllable,
+                replicaSpeed.applyAsDouble(replica.id()));
     }
 
     /** Logs why a load is planned although the model is being loaded, or is on a replica, already. */
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -125,6 +125,7 @@
                 this::config,
                 time,
                 time,
+                replica -> 1,
                 new GatewayMetrics(new SimpleMeterRegistry()));
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/EvictionCosts.java
@@ -39,6 +39,12 @@
     /** What losing one of several replicas costs for each call a second, as waiting. */
     private static final double CONTENTION_COST_MILLIS = 400;
 
+    /** How much longer a call takes at a replica of half the speed: half of the objective of calls that want an answer at once. */
+    private static final double SLOW_CALL_MILLIS = 500;
+
+    /** The time for which calls count that a model gets on a slow replica: the time constant of the call rates. */
+    private static final double SLOW_REPLICA_SECONDS = 5;
+
     /** The weight of the mean call rate in the expected rate of a model, as a number of calls. */
     private static final double PRIOR_CALLS = 0.5;
 
@@ -46,6 +52,7 @@
 
     private final ServiceDemand demand;
     private final Map<ModelName, Integer> residentReplicas = new HashMap<>();
+    private final Map<ModelName, Double> residentCapacities = new HashMap<>();
 
     /** The replicas with a local checkpoint of each model that can load it now. */
     private final Map<ModelName, Integer> availableCheckpoints = new HashMap<>();
@@ -59,7 +66,10 @@
     EvictionCosts(Iterable<ReplicaSnapshot> replicas, ServiceDemand demand, int models) {
         this.demand = Objects.requireNonNull(demand, "demand");
         for (ReplicaSnapshot replica : replicas) {
-            replica.state().residents().keySet().forEach(model -> residentReplicas.merge(model, 1, Integer::sum));
+            replica.state().residents().keySet().forEach(model -> {
+                residentReplicas.merge(model, 1, Integer::sum);
+                residentCapacities.merge(model, replica.capacity(), Double::sum);
+            });
             if (replica.isAvailable()) {
                 for (ModelName model : replica.state().localCheckpoints()) {
                     availableCheckpoints.merge(model, 1, Integer::sum);
@@ -81,6 +91,25 @@
         return residentReplicas.getOrDefault(model, 0);
     }
 
+    /** Returns how many replicas of ordinary speed the replicas that can run a model are worth. */
+    double residentCapacity(ModelName model) {
+        return residentCapacities.getOrDefault(model, 0.0);
+    }
+
+    /**
+     * Returns what it costs the calls of a model that a replica is slow.
+     *
+     * @param replica the replica that may load the model
+     * @param model the model
+     * @return the cost in milliseconds of callers' waiting, 0 if the replica is not slow
+     */
+    double slowReplicaCostMillis(ReplicaSnapshot replica, ModelName model) {
+        double slowdown = 1 / replica.capacity() - 1;
+        return demandFor(model).callsPerSecond()
+                * SLOW_REPLICA_SECONDS
+                * Math.min(slowdown * SLOW_CALL_MILLIS, MISSED_CALL_MILLIS);
+    }
+
     /**
      * Returns the highest eviction cost in milliseconds that a load of a model justifies: by the calls that wait now, which
      * only a load from a local checkpoint serves in time, or by those that come until it could be loaded again.
@@ -110,7 +139,7 @@
     /** Returns the rate of the calls for a model that exceed what its replicas should have. */
     double unservedCallsPerSecond(ModelName model) {
         int required = Math.max(1, requiredReplicas(model));
-        return expectedCallsPerSecond(model) * Math.max(0, required - residentReplicas(model)) / required;
+        return expectedCallsPerSecond(model) * Math.max(0, required - residentCapacity(model)) / required;
     }
 
     /** Checks if a replica that does not hold a model can load it now from a local checkpoint. */
@@ -118,8 +147,9 @@
         return loadableCheckpoints.contains(model);
     }
 
-    /** Counts a model as gone from one replica. */
-    void recordEviction(ModelName model) {
+    /** Counts a model as gone from a replica. */
+    void recordEviction(ReplicaSnapshot replica, ModelName model) {
+        residentCapacities.computeIfPresent(model, (key, capacity) -> capacity - replica.capacity());
         residentReplicas.computeIfPresent(model, (key, count) -> count <= 1 ? null : count - 1);
     }
 
@@ -142,13 +172,13 @@
         return Math.max(modelDemand.callsPerSecond(), estimate);
     }
 
-    /** Returns how many replicas the present calls for a model need. */
+    /** Returns how many replicas of ordinary speed the present calls for a model need. */
     int requiredReplicas(ModelName model) {
         AggregateDemand modelDemand = demandFor(model);
         return (int) Math.ceil((modelDemand.runningCalls() + modelDemand.waitingCalls()) / CALLS_PER_REPLICA);
     }
 
-    /** Returns how many replicas a model should have, so that its calls bear the loss of one. */
+    /** Returns how many replicas of ordinary speed a model should have, so that its calls bear the loss of one. */
     int targetReplicas(ModelName model) {
         boolean isBusy = demandFor(model).callsPerSecond() >= TWO_REPLICAS_CALLS_PER_SECOND;
         return Math.max(requiredReplicas(model), isBusy ? 2 : 0);
@@ -238,7 +268,8 @@
         double callsPerSecond = expectedCallsPerSecond(model);
         int required = requiredReplicas(model);
         int left = residentReplicas(model) - 1;
-        double missedShare = left > 0 && left < required ? (required - left) / (double) required : 0;
+        double leftCapacity = residentCapacity(model) - replica.capacity();
+        double missedShare = left > 0 && leftCapacity < required ? (required - leftCapacity) / required : 0;
         return evictionCostMillis(replica, model, callsPerSecond, absenceSeconds)
                 + missedShare * callsPerSecond * absenceSeconds(loadMillis) * MISSED_CALL_MILLIS;
     }
@@ -254,7 +285,8 @@
         if (left <= 0) {
             return costMillis + callsPerSecond * absenceSeconds * MISSED_CALL_MILLIS;
         }
-        double contentionFactor = left < targetReplicas(model) ? 2 : 1;
+        double leftCapacity = residentCapacity(model) - replica.capacity();
+        double contentionFactor = leftCapacity < targetReplicas(model) ? 2 : 1;
         return costMillis + contentionFactor * callsPerSecond * CONTENTION_COST_MILLIS / left;
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/LoadOptions.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/LoadOptions.java
@@ -85,6 +85,7 @@
         double costMillis =
                 loadDelayMillis * Math.max(1, evictionCosts.demandFor(model).waitingCalls())
                         + evictionCostMillis
+                        + evictionCosts.slowReplicaCostMillis(replica, model)
                         + replica.state().residents().size();
         return Optional.of(new LoadOption(replica, evictions, durationMillis, evictionCostMillis, costMillis));
     }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/PlacementPlanner.java
@@ -196,7 +196,8 @@
             return residentReplicas == 0
                     ? called.waitingCalls() > 0 || isCalledOften(called)
                     : called.waitingCalls() >= MANY_WAITING_CALLS
-                            && residentReplicas < evictionCosts.requiredReplicas(called.model());
+                            && evictionCosts.residentCapacity(called.model())
+                                    < evictionCosts.requiredReplicas(called.model());
         }
 
         /** Checks if another call is expected while the model is loaded from the weight store. */
@@ -218,7 +219,7 @@
         void scaleOutBusyModels() {
             loadable(demand.byModel().keySet().stream()
                             .filter(model ->
-                                    evictionCosts.residentReplicas(model) < evictionCosts.targetReplicas(model))
+                                    evictionCosts.residentCapacity(model) < evictionCosts.targetReplicas(model))
                             .sorted(Comparator.comparingDouble((ModelName model) ->
                                     -evictionCosts.demandFor(model).callsPerSecond()))
                             .toList())
@@ -384,7 +385,7 @@
             }
             candidates.remove(option.replica());
             pendingModels.add(model);
-            option.evictions().forEach(evictionCosts::recordEviction);
+            option.evictions().forEach(victim -> evictionCosts.recordEviction(option.replica(), victim));
             expectedLoads.add(model, option.residentInMillis());
             plannedLoads.add(new PlannedLoad(
                     option.replica().state().id(), model, option.evictions(), tier, option.durationMillis(), reason));
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlanningScenario.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/placement/PlanningScenario.java
@@ -77,6 +77,20 @@
         return this;
     }
 
+    /** Sets the speed of the replica that was added last. */
+    PlanningScenario withSpeed(double speed) {
+        ReplicaSnapshot last = replicas.remove(replicas.size() - 1);
+        replicas.add(new ReplicaSnapshot(
+                last.state(),
+                last.running(),
+                last.pendingLoad(),
+                last.availableInMillis(),
+                last.overdue(),
+                last.controllable(),
+                speed));
+        return this;
+    }
+
     /** Sets the demand for a model, whose call rate has been the same for the observed time. */
     PlanningScenario demand(String name, int waiting, int running, double callsPerSecond) {
         return demand(name, waiting, running, callsPerSecond, SLACK_MILLIS);
