--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -160,6 +160,11 @@
             431, Logger.Level.WARN, "discarded the response to %s \"%s\", of era %s of the store, the newest is %s"),
     /** A record was written again, as the store came back from a copy without it. */
     RECORD_WRITTEN_AGAIN(432, Logger.Level.INFO, "wrote %s again in era %s of the store"),
+    /** A further local checkpoint of a model is fetched, in case a replica or a failure domain is lost. */
+    CHECKPOINT_SPREAD(
+            429,
+            Logger.Level.INFO,
+            "fetching another checkpoint of model %s to replica %s from the weight store, %s calls a second"),
     /** A serving configuration was activated. */
     SERVING_CONFIG_ACTIVATED(
             610,
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/planning/PlanningServiceTest.java
@@ -126,6 +126,7 @@
                 this::config,
                 time,
                 time,
+                replica -> 1,
                 new GatewayMetrics(new SimpleMeterRegistry()));
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/LoadOptions.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/placement/LoadOptions.java
@@ -85,6 +85,7 @@
         double costMillis =
                 loadDelayMillis * Math.max(1, evictionCosts.demandFor(model).waitingCalls())
                         + evictionCostMillis
+                        + evictionCosts.slowReplicaCostMillis(replica, model)
                         + replica.state().residents().size();
         return Optional.of(new LoadOption(replica, evictions, durationMillis, evictionCostMillis, costMillis));
     }
@@ -113,6 +114,11 @@
         return replica.availableInMillis() + loadTime(replica.state(), model).toMillis();
     }
 
+    /** Returns the models that the engine knows. */
+    Set<ModelName> models() {
+        return engine.models().keySet();
+    }
+
     /** Returns the specification of a model, empty if the engine does not know it. */
     Optional<ModelSpec> spec(ModelName model) {
         return Optional.ofNullable(engine.models().get(model));
