--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -157,8 +157,8 @@
                 clocks.monotonic(),
                 timers);
         Duration watchTimeout = watchTimeout(settings.contactTime(), dependencies.storeTimeout());
-        this.quarantine = new RequestQuarantine(
-                settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
+        this.quarantine =
+                new RequestQuarantine(settings.id(), mesh, store, clocks.monotonic(), clocks.wall(), timers, random);
         this.streamVersions =
                 new StreamVersions(settings.id(), settings.failureDomain(), mesh, clocks.monotonic(), timers);
         this.servingVersions = createServingVersions(dependencies);
@@ -185,6 +185,7 @@
 
     private void connect() {
         catalog.setListCurrent(replicaWatcher::isCurrent);
+        List.of(configWatcher, replicaWatcher).forEach(watcher -> watcher.onUnreachable(quarantine::renewWatch));
         mesh.on(PeerMessage.ReplicaLeaving.class, (from, notice) -> leavingReplicas.onNotice(notice));
         replicaClient.onLeaving(replica ->
                 leavingReplicas.onResponse(replica.id(), replica.process().startMillis()));
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -34,6 +35,9 @@
      */
     private static final Duration DELETION_DELAY = Duration.ofMillis(1_800);
 
+    /** Bounds the requests that are left waiting when watches are renewed again and again. */
+    private static final Duration MIN_AGE_OF_RENEWED_WATCH = Duration.ofMillis(2_000);
+
     /** The time in which the store responds to a watch after its end, over a network that loses packets. */
     private static final Duration MAX_RESPONSE_TIME = Duration.ofMillis(500);
 
@@ -56,8 +60,12 @@
     private long lastResponseMillis;
     private long failedEvents;
 
-    /** The number of times that the store came back from an older copy; what was requested before is ignored. */
-    private long restoreCount;
+    /** The number of series of requests begun; the responses to, and the delayed requests of, earlier ones are ignored. */
+    private long seriesCount;
+
+    private Runnable onUnreachable = () -> {};
+    private long watchSentMillis;
+    private Optional<Long> watchedRevision = Optional.empty();
 
     /**
      * Creates a watcher that is not started.
@@ -94,6 +102,28 @@
         this.lastResponseMillis = clock.millis();
     }
 
+    /**
+     * Sets the action to run when a request fails after others have succeeded, so that other watches can find out
+     * whether their connections still work.
+     *
+     * @param action the action, not null
+     */
+    public void onUnreachable(Runnable action) {
+        onUnreachable = Objects.requireNonNull(action, "action");
+    }
+
+    /**
+     * Sends the watch request again if one has been waiting for some time. Its connection may deliver nothing any more,
+     * without an error. Does nothing while the objects are listed or a request is delayed.
+     */
+    public void renew() {
+        boolean isYoung = clock.millis() - watchSentMillis < MIN_AGE_OF_RENEWED_WATCH.toMillis();
+        if (!stopped && !isYoung && watchedRevision.isPresent()) {
+            seriesCount++;
+            watch(watchedRevision.get());
+        }
+    }
+
     /** Starts with a listing and then watches until stopped. */
     public void start() {
         store.addEraListener(era -> onStoreRestored());
@@ -103,7 +133,7 @@
     /** Lists the objects again. Lost ones are written again by their writers, so their deletion is held back. */
     private void onStoreRestored() {
         if (!stopped) {
-            restoreCount++;
+            seriesCount++;
             recoveredMillis = clock.millis();
             list();
         }
@@ -169,28 +199,29 @@
             return;
         }
         long sentMillis = clock.millis();
-        long restores = restoreCount;
+        long series = seriesCount;
         Uni.createFrom()
                 .deferred(() -> store.snapshot(prefix))
                 .subscribe()
                 .with(
-                        snapshot -> runUnlessRestored(restores, () -> runStep(() -> onSnapshot(snapshot))),
-                        failure -> runUnlessRestored(restores, () -> {
+                        snapshot -> runIfLatest(series, () -> runStep(() -> onSnapshot(snapshot))),
+                        failure -> runIfLatest(series, () -> {
                             onRequestFailed(failure);
                             schedule(retryDelay(sentMillis), this::list);
                         }));
     }
 
-    private void runUnlessRestored(long restores, Runnable step) {
-        if (restores == restoreCount) {
+    private void runIfLatest(long series, Runnable step) {
+        if (series == seriesCount) {
+            watchedRevision = Optional.empty();
             step.run();
         }
     }
 
     /** Schedules a request, which is not sent if the objects are listed again before. */
     private void schedule(Duration delay, Runnable request) {
-        long restores = restoreCount;
-        timers.schedule(delay, () -> runUnlessRestored(restores, request));
+        long series = seriesCount;
+        timers.schedule(delay, () -> runIfLatest(series, request));
     }
 
     /** Runs a step after which the next request is sent. If the step fails unexpectedly, the objects are listed again. */
@@ -221,13 +252,15 @@
             return;
         }
         long sentMillis = clock.millis();
-        long restores = restoreCount;
+        long series = seriesCount;
+        watchSentMillis = sentMillis;
+        watchedRevision = Optional.of(revision);
         Uni.createFrom()
                 .deferred(() -> store.watch(prefix, revision, watchTimeout))
                 .subscribe()
                 .with(
-                        batch -> runUnlessRestored(restores, () -> runStep(() -> onBatch(batch))),
-                        failure -> runUnlessRestored(restores, () -> onWatchFailed(failure, revision, sentMillis)));
+                        batch -> runIfLatest(series, () -> runStep(() -> onBatch(batch))),
+                        failure -> runIfLatest(series, () -> onWatchFailed(failure, revision, sentMillis)));
     }
 
     private void onWatchFailed(Throwable failure, long revision, long sentMillis) {
@@ -315,10 +348,12 @@
     }
 
     private void onRequestFailed(Throwable failure) {
-        if (reachable) {
+        boolean wasReachable = reachable;
+        reachable = false;
+        if (wasReachable) {
             LogEvent.DEPENDENCY_STATE.log("store", false, prefix + ": " + failure.getMessage());
+            onUnreachable.run();
         }
-        reachable = false;
         failing = true;
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/QuarantineRecords.java
@@ -37,6 +37,12 @@
     /** The prefix of the store keys of quarantined requests; the rest of a key is the fingerprint. */
     public static final String PREFIX = "tarragonring-quarantine/";
 
+    /**
+     * How long the store holds a watch request. Longer than for the configuration, as entries tell each other of
+     * quarantined requests, too, and {@link #renewWatch} finds out early that the connections fail.
+     */
+    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(10_000);
+
     private static final Duration WRITE_RETRY_DELAY = Duration.ofMillis(1_000);
     /** How long the entry that removes records has to write lost ones again before all others do. */
     private static final Duration REWRITE_DELAY_OF_OTHERS = Duration.ofMillis(700);
@@ -64,7 +70,6 @@
      * Creates records that are not read yet.
      *
      * @param store the store, not null
-     * @param watchTimeout how long the store holds a watch request, not null
      * @param quarantine receives the requests that other entries have quarantined, not null
      * @param clock the monotonic clock, not null
      * @param wallClock the clock of the expiry times, which all entries share approximately; not null
@@ -73,7 +78,6 @@
      */
     public QuarantineRecords(
             RevisionedStore store,
-            Duration watchTimeout,
             Quarantine quarantine,
             MonotonicClock clock,
             InstantSource wallClock,
@@ -85,7 +89,7 @@
         this.timers = Objects.requireNonNull(timers, "timers");
         this.cleansUp = Objects.requireNonNull(cleansUp, "cleansUp");
         this.watcher = new StoreWatcher(
-                PREFIX, watchTimeout, Duration.ZERO, store, clock, timers, this::onStored, this::onDeleted);
+                PREFIX, WATCH_TIMEOUT, Duration.ZERO, store, clock, timers, this::onStored, this::onDeleted);
     }
 
     /** Starts to watch the records and to remove expired ones. */
@@ -112,6 +116,11 @@
         cleanupTask.cancel();
     }
 
+    /** Sends the watch request again, as another request to the store has failed and the connections may be faulty. */
+    public void renewWatch() {
+        watcher.renew();
+    }
+
     /**
      * Checks if the records were read at least once.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/RequestQuarantine.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quarantine/RequestQuarantine.java
@@ -52,7 +52,6 @@
      * @param self the id of this entry, not null
      * @param mesh sends reports to the other entries, not null
      * @param store keeps the quarantined requests, not null
-     * @param watchTimeout how long the store holds a watch request, not null
      * @param clock the monotonic clock, not null
      * @param wallClock the clock of the expiry times in the store, not null
      * @param timers schedules retransmissions and retries, not null
@@ -62,7 +61,6 @@
             EntryId self,
             Mesh mesh,
             RevisionedStore store,
-            Duration watchTimeout,
             MonotonicClock clock,
             InstantSource wallClock,
             Timers timers,
@@ -72,7 +70,6 @@
         this.reports = new FailureReports(self, quarantine, mesh.messenger(), clock, timers, random);
         this.records = new QuarantineRecords(
                 store,
-                watchTimeout,
                 quarantine,
                 clock,
                 wallClock,
@@ -93,6 +90,11 @@
         reports.stop();
     }
 
+    /** Sends the watch request again, as another request to the store has failed and the connections may be faulty. */
+    public void renewWatch() {
+        records.renewWatch();
+    }
+
     /**
      * Checks if the quarantine was read from the store.
      *
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/follow/StoreWatcherTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/follow/StoreWatcherTest.java
@@ -164,6 +164,32 @@
         assertEquals(sent, store.sentCount);
     }
 
+    // Guards against a watch that waits for its whole time on a connection which delivers nothing any more.
+    @Test
+    void renewedWatchReplacesTheOneThatWaits() {
+        watcher.renew();
+        assertEquals(2, store.pending.size());
+        watcher.renew();
+        assertEquals(2, store.pending.size(), "requests pile up");
+
+        store.answer(new WatchBatch(2, List.of(object("too-late")), List.of()));
+        store.answer(new WatchBatch(2, List.of(object("c")), List.of()));
+
+        assertEquals(List.of("things/c"), changed);
+    }
+
+    @Test
+    void failureAfterSuccessIsToldOnce() {
+        List<Boolean> told = new ArrayList<>();
+        watcher.onUnreachable(() -> told.add(watcher.isReachable()));
+
+        store.fail(Kind.UNAVAILABLE);
+        time.advance(Duration.ofMillis(500));
+        store.fail(Kind.UNAVAILABLE);
+
+        assertEquals(List.of(false), told);
+    }
+
     private void onChanged(String key) {
         changed.add(key);
         failIfTold();
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/quarantine/QuarantineRecordsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/quarantine/QuarantineRecordsTest.java
@@ -23,7 +23,7 @@
     private final Quarantine quarantine = new Quarantine(time, Duration.ofMinutes(10));
     private boolean cleansUp = true;
     private final QuarantineRecords records =
-            new QuarantineRecords(store, Duration.ofSeconds(2), quarantine, time, time, time, () -> cleansUp);
+            new QuarantineRecords(store, quarantine, time, time, time, () -> cleansUp);
 
     @Test
     void lostRecordIsWrittenAgainAndTheQuarantineGoesOn() {
