--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/InMemoryObjectStore.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/InMemoryObjectStore.java
@@ -14,6 +14,8 @@
 
 import io.smallrye.mutiny.Uni;
 import org.tarragonring.objects.ObjectStore;
+import org.tarragonring.objects.StoreEra;
+import org.tarragonring.objects.StoreEras;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.objects.WatchBatch;
@@ -35,6 +37,8 @@
     private final Map<String, AtomicLong> requestsByKind = new ConcurrentSkipListMap<>();
     private final AtomicLong reads = new AtomicLong();
     private final AtomicLong writes = new AtomicLong();
+    private final StoreEras eras = new StoreEras();
+    private Copy copy = new Copy(new TreeMap<>(), 0);
     private long revision;
 
     /**
@@ -83,14 +87,52 @@
     public Uni<WatchBatch> watch(String prefix, long afterRevision, Duration wait) {
         return Uni.createFrom().emitter(emitter -> {
             reads.incrementAndGet();
-            Watcher watcher = new Watcher(prefix, afterRevision, emitter::complete);
-            if (!watcher.completeIfChanged()) {
+            Watcher watcher = new Watcher(prefix, afterRevision, emitter::complete, emitter::fail);
+            if (afterRevision > revision()) {
+                watcher.endWithHistoryGone();
+            } else if (!watcher.completeIfChanged()) {
                 watchers.add(watcher);
                 timers.schedule(wait, watcher::expire);
             }
         });
     }
 
+    @Override
+    public StoreEra era() {
+        return eras.newest();
+    }
+
+    @Override
+    public void addEraListener(Consumer<StoreEra> listener) {
+        eras.addListener(listener);
+    }
+
+    /**
+     * Copies all objects and the revision. From now on the store has an era, the first of which is 1.
+     *
+     * @since 0.2.0
+     */
+    public synchronized void copy() {
+        eras.observe(new StoreEra(Math.max(1, era().number())));
+        copy = new Copy(new TreeMap<>(objects), revision);
+    }
+
+    /**
+     * Comes back from the last copy in a new era: what was written since is lost, revisions are given out again, and
+     * waiting watches fail, as their revision may not exist any more. Without a copy all objects are lost.
+     *
+     * @since 0.2.0
+     */
+    public void restoreCopy() {
+        synchronized (this) {
+            objects.clear();
+            objects.putAll(copy.objects);
+            revision = copy.revision;
+        }
+        watchers.forEach(Watcher::endWithHistoryGone);
+        eras.observe(new StoreEra(era().number() + 1));
+    }
+
     /**
      * Returns the number of read requests since this store was created, including lists and watches.
      *
@@ -189,6 +231,8 @@
         return revision;
     }
 
+    private record Copy(TreeMap<String, RevisionedObject> objects, long revision) {}
+
     private record RevisionedObject(StoredObject object, long revision) {}
 
     private final class Watcher {
@@ -196,12 +240,27 @@
         private final String prefix;
         private final long afterRevision;
         private final Consumer<WatchBatch> onBatch;
+        private final Consumer<Throwable> onFailure;
         private boolean completed;
 
-        private Watcher(String prefix, long afterRevision, Consumer<WatchBatch> onBatch) {
+        private Watcher(
+                String prefix, long afterRevision, Consumer<WatchBatch> onBatch, Consumer<Throwable> onFailure) {
             this.prefix = prefix;
             this.afterRevision = afterRevision;
             this.onBatch = onBatch;
+            this.onFailure = onFailure;
+        }
+
+        private void endWithHistoryGone() {
+            synchronized (this) {
+                if (completed) {
+                    return;
+                }
+                completed = true;
+            }
+            watchers.remove(this);
+            onFailure.accept(new StoreException(
+                    StoreException.Kind.HISTORY_GONE, "watch of \"%s\": revision is gone".formatted(prefix)));
         }
 
         private boolean completeIfChanged() {
--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/PlatformServer.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/platform/PlatformServer.java
@@ -25,6 +25,7 @@
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.objects.Instance;
 import org.tarragonring.objects.Json;
+import org.tarragonring.objects.StoreEra;
 import org.tarragonring.objects.StoreException;
 import org.tarragonring.objects.StoredObject;
 import org.tarragonring.time.Timers;
@@ -42,6 +43,7 @@
     private static final int STATUS_PRECONDITION_FAILED = 412;
     private static final int STATUS_NOT_MODIFIED = 304;
     private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_GONE = 410;
 
     private final Vertx vertx;
     private final Timers timers;
@@ -168,6 +170,10 @@
     private Router createRouter() {
         Router router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false));
+        router.route().handler(routing -> {
+            routing.addHeadersEndHandler(end -> addEra(routing));
+            routing.next();
+        });
         router.post("/faults").handler(this::setFaults);
         router.post("/instances").handler(this::registerInstance);
         router.get("/counts").handler(this::getCounts);
@@ -260,11 +266,29 @@
                 .put("waitingWatches", store.waitingWatches()));
     }
 
+    /** Tells the era in each response from the first copy on. */
+    private void addEra(RoutingContext routing) {
+        if (store.era().isAfter(StoreEra.NONE)) {
+            routing.response().putHeader("Store-Era", store.era().toString());
+        }
+    }
+
+    /** Copies the objects of the store, or lets it come back from the last copy. */
+    private void playDrill(JsonObject faults) {
+        if (faults.getBoolean("copyStore", false)) {
+            store.copy();
+        }
+        if (faults.getBoolean("restoreStore", false)) {
+            store.restoreCopy();
+        }
+    }
+
     private void setFaults(RoutingContext routing) {
         JsonObject body = routing.body().asJsonObject();
         down = body.getBoolean("down", down);
         responsesToLose.set(body.getInteger("loseAnswers", responsesToLose.get()));
         listLag = Duration.ofMillis(body.getLong("listLagMillis", listLag.toMillis()));
+        playDrill(body);
         routing.response().end();
     }
 
@@ -289,10 +313,13 @@
 
     private static <T> void respondWith(RoutingContext routing, Uni<T> operation, Consumer<T> onSuccess) {
         operation.subscribe().with(onSuccess, failure -> {
-            boolean conflict = failure instanceof StoreException e && e.kind() == StoreException.Kind.CONFLICT;
-            routing.response()
-                    .setStatusCode(conflict ? STATUS_PRECONDITION_FAILED : STATUS_UNAVAILABLE)
-                    .end();
+            StoreException.Kind kind = failure instanceof StoreException e ? e.kind() : StoreException.Kind.UNAVAILABLE;
+            int status = switch (kind) {
+                case CONFLICT -> STATUS_PRECONDITION_FAILED;
+                case HISTORY_GONE -> STATUS_GONE;
+                default -> STATUS_UNAVAILABLE;
+            };
+            routing.response().setStatusCode(status).end();
         });
     }
 
