--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -141,8 +141,8 @@
                 replica -> 1,
                 metrics);
         Duration watchTimeout = WatchTiming.watchTimeout(settings.contactTime(), dependencies.storeTimeout());
-        this.quarantine = new RequestQuarantine(
-                settings.id(), mesh, store, watchTimeout, clocks.monotonic(), clocks.wall(), timers, random);
+        this.quarantine =
+                new RequestQuarantine(settings.id(), mesh, store, clocks.monotonic(), clocks.wall(), timers, random);
         this.streamVersions =
                 new StreamVersions(settings.id(), settings.failureDomain(), mesh, clocks.monotonic(), timers);
         this.servingVersions = createServingVersions(dependencies);
@@ -176,6 +176,7 @@
     private void connect() {
         catalog.setListCurrent(replicaWatcher::isCurrent);
         keyedCalls.follow(configWatcher);
+        List.of(configWatcher, replicaWatcher).forEach(watcher -> watcher.onUnreachable(quarantine::renewWatch));
         mesh.on(PeerMessage.ReplicaLeaving.class, (from, notice) -> leavingReplicas.onNotice(notice));
         replicaClient.onLeaving(replica ->
                 leavingReplicas.onResponse(replica.id(), replica.process().startMillis()));
