Route calls by load and speed over all entries where replicas differ

An entry counts only its own calls and no component knows the speed of a replica, so slow replicas got as many calls as fast ones.

Entries report the running calls of plain services and how long responses took; the planning entry estimates speeds and sends a digest of load and speed while the replicas of a service differ. Entries then compare two random replicas, fast ones more often, and those with cached prompt parts, by expected time. Elsewhere the choice stays as it was.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -171,6 +171,16 @@
     CALL_QUARANTINED(715, Logger.Level.INFO, "request %s is quarantined for %s ms more"),
     /** A call was refused because a part of its prompt is quarantined. */
     CALL_WITH_QUARANTINED_PART(717, Logger.Level.INFO, "prompt part %s, fingerprint %s, is quarantined for %s ms more"),
+    /** The replicas of a service were found to differ in speed, so that calls are routed by expected time. */
+    REPLICAS_UNEVEN(
+            730,
+            Logger.Level.INFO,
+            "replicas of service %s differ in speed by a factor of %s, routing calls by expected time, replicas %s"),
+    /** The replicas of a service no longer differ in speed, so that calls are routed by the calls in flight. */
+    REPLICAS_EVEN(
+            731,
+            Logger.Level.INFO,
+            "replicas of service %s no longer differ in speed, factor %s, routing calls by calls in flight, replicas %s"),
     /** An unexpected failure was caught. */
     UNEXPECTED_FAILURE(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
     /** An invariant was violated. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -185,6 +185,7 @@
 
     private void connect() {
         catalog.setListCurrent(replicaWatcher::isCurrent);
+        planning.onReport(server.unevenRouting()::onReport);
         mesh.on(PeerMessage.ReplicaLeaving.class, (from, notice) -> leavingReplicas.onNotice(notice));
         replicaClient.onLeaving(replica ->
                 leavingReplicas.onResponse(replica.id(), replica.process().startMillis()));
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -9,6 +9,8 @@
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.WeightKey;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
+import org.tarragonring.gateway.routing.AttemptTiming;
+import org.tarragonring.gateway.routing.UnevenRouting;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.config.RouteKind;
@@ -51,6 +53,7 @@
     private final MemoryBudget.Reservation memory;
 
     private ReplicaRuns.Run run;
+    private AttemptTiming timing;
     private boolean ended;
     private boolean responding;
     private boolean connectionFailed;
@@ -82,6 +85,7 @@
         exchange.activeRequest = request;
         replica.callStarted(model());
         context.durationEstimator.onStarted(replica.id(), exchange);
+        timing = context.routing.onSent(process, exchange.profile(), exchange.timingKind());
         run = context.failureMonitor.onRunStarted(exchange, replica);
         exchange.possibleRuns++;
         LogEvent.CALL_SENT.logForCall(
@@ -116,6 +120,7 @@
         ended = true;
         memory.release();
         context.durationEstimator.onEnded(replica.id(), exchange, succeeded);
+        timing.onEnded(succeeded);
         if (answered) {
             context.failureMonitor.onRunAnswered(run);
         } else {
@@ -367,6 +372,7 @@
                 startResponse(response).setChunked(true);
             }
             callerResponse.write(events);
+            timing.onEvents(exchange.framer.eventCount(), callerResponse.writeQueueFull());
             applyBackPressure(response, callerResponse);
         }
 
@@ -407,6 +413,7 @@
             Ejections ejections,
             MonotonicClock clock,
             CallDurationEstimator durationEstimator,
+            UnevenRouting routing,
             ReplicaFailureMonitor failureMonitor,
             LocalResponses localResponses,
             LeavingReplicas leavingReplicas,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -25,6 +25,7 @@
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.routing.UnevenRouting;
 import org.tarragonring.gateway.streams.ServingVersions;
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.ids.HostPort;
@@ -37,7 +38,6 @@
 import org.tarragonring.policy.config.ServiceSpec;
 import org.tarragonring.policy.config.ServingConfig;
 import org.tarragonring.policy.replica.ReplicaState;
-import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
@@ -86,6 +86,7 @@
     private final LocalResponses localResponses;
     private final BodyReader bodyReader;
     private final ShutdownAdmission shutdownAdmission;
+    private final UnevenRouting routing;
     private final Forwarder forwarder;
     private final DemandReporter demandReporter;
     private HttpServer server;
@@ -128,10 +129,12 @@
                 .setKeepAlive(false)
                 .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                 .setDecompressionSupported(false);
+        this.routing = new UnevenRouting(
+                context.failureDomain, context.mesh, context.catalog, config, clock, timers, random, context.metrics);
         this.forwarder = new Forwarder(
                 codec,
                 context.catalog,
-                new ReplicaPicker(context.failureDomain, random),
+                routing,
                 context.ejections,
                 vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_REPLICA)),
                 budgets,
@@ -151,8 +154,8 @@
                         context.timers,
                         (service, model) -> config.get().flatMap(current -> current.findModel(service, model))));
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
-        this.demandReporter =
-                new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
+        this.demandReporter = new DemandReporter(
+                forwarder, context.catalog, routing, loadRouter, context.mesh, clock, context.timers);
         context.catalog.addChangeListener(forwarder::dispatchWaiting);
         context.catalog.addFailureListener(forwarder::onReplicaFailed);
         context.metrics.registerGauge("tarragonring.calls.in.flight", forwarder::inFlight);
@@ -176,6 +179,7 @@
                 .connectionHandler(callerConnections::onOpened)
                 .requestHandler(this::onRequest);
         demandReporter.start();
+        routing.start();
         callerConnections.start();
         stallDetector.start();
         return server.listen(address.port(), address.host())
@@ -191,6 +195,7 @@
      */
     public CompletableFuture<Void> stop() {
         demandReporter.stop();
+        routing.stop();
         callerConnections.stop();
         stallDetector.stop();
         return server == null
@@ -228,6 +233,15 @@
         return forwarder.inFlight();
     }
 
+    /**
+     * Returns what chooses replicas, which also knows their speeds while this entry plans.
+     *
+     * @return the choice of replicas, never null
+     */
+    public UnevenRouting unevenRouting() {
+        return routing;
+    }
+
     private RequestLimits limits() {
         return config.get().map(ServingConfig::limits).orElse(RequestLimits.DEFAULT);
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/DemandReporter.java
@@ -14,6 +14,7 @@
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.planning.PlanningService;
+import org.tarragonring.gateway.routing.UnevenRouting;
 import org.tarragonring.home.Rendezvous;
 import org.tarragonring.ids.ModelName;
 import org.tarragonring.ids.ServiceName;
@@ -46,6 +47,7 @@
 
     private final Forwarder forwarder;
     private final ReplicaCatalog catalog;
+    private final UnevenRouting routing;
     private final LoadRequestRouter loadRouter;
     private final Mesh mesh;
     private final MonotonicClock clock;
@@ -58,12 +60,14 @@
     DemandReporter(
             Forwarder forwarder,
             ReplicaCatalog catalog,
+            UnevenRouting routing,
             LoadRequestRouter loadRouter,
             Mesh mesh,
             MonotonicClock clock,
             Timers timers) {
         this.forwarder = Objects.requireNonNull(forwarder, "forwarder");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
+        this.routing = Objects.requireNonNull(routing, "routing");
         this.loadRouter = Objects.requireNonNull(loadRouter, "loadRouter");
         this.mesh = Objects.requireNonNull(mesh, "mesh");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -72,6 +76,7 @@
 
     void start() {
         forwarder.onWaiting(this::reportSoon);
+        routing.onUrgent(this::reportSoon);
         reportPeriodically();
     }
 
@@ -132,8 +137,10 @@
                             0,
                             forwarder.durationEstimator().estimateRemainingMillis(replica.id(), model))));
         }
+        demands.addAll(routing.plainDemands());
+        List<PeerMessage.ReplicaTiming> timings = routing.drainTimings();
         List<UpstreamId> unreachable = catalog.ejected();
-        boolean isEmpty = demands.isEmpty() && unreachable.isEmpty();
+        boolean isEmpty = demands.isEmpty() && unreachable.isEmpty() && timings.isEmpty();
         if (isEmpty && lastReportEmpty) {
             return;
         }
@@ -142,7 +149,7 @@
         if (mostUrgent.size() < demands.size()) {
             LogEvent.DEMAND_TRUNCATED.log(mostUrgent.size(), demands.size());
         }
-        mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(mostUrgent, unreachable));
+        mesh.send(mesh.entryFor(PlanningService.DUTY), new PeerMessage.DemandReport(mostUrgent, unreachable, timings));
     }
 
     /** Returns as many demands as fit into one message: those with the most calls that wait, arrive and run. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -12,14 +12,18 @@
 import io.vertx.core.http.HttpServerRequest;
 import org.tarragonring.gateway.call.CallHead;
 import org.tarragonring.gateway.call.CallerIdentity;
+import org.tarragonring.gateway.call.TokenCount;
 import org.tarragonring.gateway.call.WeightKey;
+import org.tarragonring.gateway.routing.AttemptTiming;
 import org.tarragonring.ids.RequestFingerprint;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.policy.config.Route;
+import org.tarragonring.policy.config.RouteKind;
 import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.policy.routing.CallProfile;
 import org.tarragonring.policy.team.Team;
 import org.tarragonring.routing.Suspect;
 
@@ -58,6 +62,7 @@
     final EventFramer framer = new EventFramer();
     private RequestFingerprint fingerprint;
     private List<Suspect> promptParts;
+    private CallProfile profile;
     HttpClientRequest activeRequest;
     ReplicaState replica;
     Runnable cancelTimeout = () -> {};
@@ -183,7 +188,37 @@
         if (weights.isEmpty() || parts == 0) {
             return "";
         }
-        String part = head.promptPrefixIds().get(Math.max(0, parts - 2));
-        return weights.get().model() + "/" + weights.get().adapter() + "/" + part;
+        return promptKey(head.promptPrefixIds().get(Math.max(0, parts - 2)));
+    }
+
+    private String promptKey(String part) {
+        return weights.orElseThrow().model() + "/" + weights.get().adapter() + "/" + part;
+    }
+
+    /** Returns what the choice among replicas of different speed takes into account. */
+    CallProfile profile() {
+        if (profile == null) {
+            profile = new CallProfile(
+                    route.name(),
+                    weights.isPresent(),
+                    head.tokenCount().map(TokenCount::promptTokens).orElse(0L),
+                    head.tokenCount().map(TokenCount::maxOutputTokens).orElse(0L),
+                    weights.isEmpty()
+                            ? List.of()
+                            : head.promptPrefixIds().stream()
+                                    .map(this::promptKey)
+                                    .toList(),
+                    affinityKey(),
+                    route.latencyObjective().toMillis());
+        }
+        return profile;
+    }
+
+    /** Returns what an attempt shows of the speed of its replica. */
+    AttemptTiming.Kind timingKind() {
+        if (weights.isEmpty()) {
+            return AttemptTiming.Kind.PLAIN;
+        }
+        return route.kind() == RouteKind.STREAM ? AttemptTiming.Kind.MODEL_STREAM : AttemptTiming.Kind.MODEL_BODY;
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -22,6 +22,7 @@
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
+import org.tarragonring.gateway.routing.UnevenRouting;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
@@ -29,7 +30,6 @@
 import org.tarragonring.policy.quarantine.ReplicaRuns;
 import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
-import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
@@ -84,7 +84,7 @@
      *
      * @param codec reads and writes the headers of calls, not null
      * @param catalog the known replicas, not null
-     * @param picker chooses a replica for a call, not null
+     * @param routing chooses a replica for a call, not null
      * @param ejections records successes and failures of replicas, not null
      * @param client opens connections to replicas, not null
      * @param budgets the retry budgets of the services, not null
@@ -102,7 +102,7 @@
     Forwarder(
             CallCodec codec,
             ReplicaCatalog catalog,
-            ReplicaPicker picker,
+            UnevenRouting routing,
             Ejections ejections,
             HttpClientAgent client,
             RetryBudgets budgets,
@@ -126,7 +126,7 @@
         this.callerConnections = Objects.requireNonNull(callerConnections, "callerConnections");
         this.localResponses = Objects.requireNonNull(localResponses, "localResponses");
         this.resumption = Objects.requireNonNull(resumption, "resumption");
-        this.selector = new ReplicaSelector(catalog, picker, resumption);
+        this.selector = new ReplicaSelector(catalog, routing, resumption);
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.durationEstimator = new CallDurationEstimator(clock);
         this.failureMonitor = new ReplicaFailureMonitor(new ReplicaRuns(clock), quarantine, ejections, client, timers);
@@ -136,6 +136,7 @@
                 ejections,
                 clock,
                 durationEstimator,
+                routing,
                 failureMonitor,
                 localResponses,
                 Objects.requireNonNull(leavingReplicas, "leavingReplicas"),
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaSelector.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaSelector.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.routing.UnevenRouting;
 import org.tarragonring.policy.replica.ReplicaState;
-import org.tarragonring.policy.routing.ReplicaPicker;
 
 /**
  * Selects the replica to which a call is sent.
@@ -16,19 +16,19 @@
 final class ReplicaSelector {
 
     private final ReplicaCatalog catalog;
-    private final ReplicaPicker picker;
+    private final UnevenRouting routing;
     private final StreamResumption resumption;
 
     /**
      * Creates an instance.
      *
      * @param catalog the known replicas, not null
-     * @param picker chooses one of several replicas, not null
+     * @param routing chooses one of several replicas, not null
      * @param resumption keeps streams at the software version that began them, not null
      */
-    ReplicaSelector(ReplicaCatalog catalog, ReplicaPicker picker, StreamResumption resumption) {
+    ReplicaSelector(ReplicaCatalog catalog, UnevenRouting routing, StreamResumption resumption) {
         this.catalog = Objects.requireNonNull(catalog, "catalog");
-        this.picker = Objects.requireNonNull(picker, "picker");
+        this.routing = Objects.requireNonNull(routing, "routing");
         this.resumption = Objects.requireNonNull(resumption, "resumption");
     }
 
@@ -45,7 +45,7 @@
         List<ReplicaState> untried = eligible.stream()
                 .filter(replica -> !exchange.failedReplicas.contains(replica.id()))
                 .toList();
-        Optional<ReplicaState> best = picker.pick(untried, exchange.affinityKey());
+        Optional<ReplicaState> best = routing.pick(untried, exchange.profile());
         Optional<ReplicaState> unrecorded = best.filter(replica -> !resumption.isBeginRecorded(exchange, replica));
         Optional<ReplicaState> picked = unrecorded.isEmpty() ? best : pickRecorded(exchange, untried);
         return new Selection(picked, unrecorded, !eligible.isEmpty());
@@ -62,7 +62,7 @@
         List<ReplicaState> recorded = candidates.stream()
                 .filter(replica -> resumption.isBeginRecorded(exchange, replica))
                 .toList();
-        return picker.pick(recorded, exchange.affinityKey());
+        return routing.pick(recorded, exchange.profile());
     }
 
     /**
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
@@ -124,6 +124,15 @@
         handlers.put(type, (from, message) -> handler.accept(from, type.cast(message)));
     }
 
+    /**
+     * Returns the id of this entry.
+     *
+     * @return the id, never null
+     */
+    public EntryId self() {
+        return settings.id();
+    }
+
     /**
      * Opens the UDP socket and starts receiving messages.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
@@ -83,6 +83,11 @@
         registry.counter("tarragonring.calls.quarantined").increment();
     }
 
+    /** Counts a call that got another replica than it would get if all replicas had the same speed. */
+    public void countUnevenPick() {
+        registry.counter("tarragonring.calls.uneven.picks").increment();
+    }
+
     /**
      * Records a request to the store or to a replica.
      *
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/planning/PlanningService.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
@@ -77,6 +78,7 @@
     private final Map<ServiceName, StoreLoadBudget> storeLoadBudgets = new HashMap<>();
     private final Map<ServiceName, StoreConcurrency> storeConcurrencies = new HashMap<>();
     private final PendingLoads pendingLoads;
+    private BiConsumer<EntryId, PeerMessage.DemandReport> reportListener = (from, report) -> {};
     private Timers.Task periodicPlanning = () -> {};
     private boolean planningScheduled;
     private long nextPlanningMillis;
@@ -116,10 +118,20 @@
         this.pendingLoads = new PendingLoads(clock);
     }
 
+    /**
+     * Sets the receiver of all demand reports, beside the planner.
+     *
+     * @param listener receives the sender and the report, not null
+     */
+    public void onReport(BiConsumer<EntryId, PeerMessage.DemandReport> listener) {
+        reportListener = Objects.requireNonNull(listener, "listener");
+    }
+
     /** Starts collecting demand reports and planning, periodically and on each report of waiting calls. */
     public void start() {
         mesh.on(PeerMessage.DemandReport.class, (from, report) -> {
-            demandAggregator.addReport(from, report.demands(), report.unreachable());
+            reportListener.accept(from, report);
+            demandAggregator.addReport(from, PlainCallDemand.withoutPlainCalls(report.demands()), report.unreachable());
             if (report.demands().stream().anyMatch(d -> d.waiting() > 0)) {
                 planSoon();
             }
