--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -218,6 +218,16 @@
             "entry %s, which coordinates the quota of team %s, does not respond, using the reserve of this entry"),
     /** The entry starts or stops to coordinate the quota of a team. */
     QUOTA_COORDINATED(726, Logger.Level.INFO, "entry %s coordinates the quota of team %s=%s, share of the limit %s"),
+    /** The replicas of a service were found to differ in speed, so that calls are routed by expected time. */
+    REPLICAS_UNEVEN(
+            730,
+            Logger.Level.INFO,
+            "replicas of service %s differ in speed by a factor of %s, routing calls by expected time, replicas %s"),
+    /** The replicas of a service no longer differ in speed, so that calls are routed by the calls in flight. */
+    REPLICAS_EVEN(
+            731,
+            Logger.Level.INFO,
+            "replicas of service %s no longer differ in speed, factor %s, routing calls by calls in flight, replicas %s"),
     /** An unexpected failure was caught. */
     UNEXPECTED_FAILURE(900, Logger.Level.ERROR, "unexpected failure in %s: %s"),
     /** An invariant was violated. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.follow.StoreWatcher;
 import org.tarragonring.gateway.forward.CallServer;
+import org.tarragonring.gateway.forward.CallServerContext;
 import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.metrics.MeteredReplicaClient;
@@ -44,7 +45,6 @@
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.budget.RetryBudgets;
 import org.tarragonring.policy.config.ServingConfig;
-import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.service.ShutdownSequence;
 import org.tarragonring.time.Delays;
@@ -138,7 +138,7 @@
                 this::config,
                 clocks.monotonic(),
                 timers,
-                replica -> 1,
+                this::speedOf,
                 metrics);
         Duration watchTimeout = WatchTiming.watchTimeout(settings.contactTime(), dependencies.storeTimeout());
         this.quarantine =
@@ -169,19 +169,25 @@
                 object -> dependencies.replicaDecoder().apply(object).ifPresent(catalog::put),
                 this::onReplicaRemoved);
         this.configDecoder = dependencies.configDecoder();
-        connect();
+        connect(dependencies.configPrefix());
         registerGauges(metrics);
     }
 
-    private void connect() {
+    private void connect(String configPrefix) {
         catalog.setListCurrent(replicaWatcher::isCurrent);
-        keyedCalls.follow(configWatcher);
+        keyedCalls.follow(
+                configWatcher, () -> store.list(configPrefix).invoke(objects -> objects.forEach(this::onConfig)));
         List.of(configWatcher, replicaWatcher).forEach(watcher -> watcher.onUnreachable(quarantine::renewWatch));
+        planning.onReport(server.unevenRouting()::onReport);
         mesh.on(PeerMessage.ReplicaLeaving.class, (from, notice) -> leavingReplicas.onNotice(notice));
         replicaClient.onLeaving(replica ->
                 leavingReplicas.onResponse(replica.id(), replica.process().startMillis()));
     }
 
+    private double speedOf(UpstreamId replica) {
+        return server.unevenRouting().speedOf(replica);
+    }
+
     /**
      * Starts listening and watching the store. Starts nothing more once the shutdown has begun.
      *
@@ -325,9 +331,9 @@
         return state;
     }
 
-    private CallServer.Context callContext(
+    private CallServerContext callContext(
             Vertx vertx, GatewayDependencies dependencies, Ejections ejections, Random random, GatewayMetrics metrics) {
-        return new CallServer.Context(
+        return new CallServerContext(
                 vertx,
                 settings.callerAddress(),
                 settings.failureDomain(),
@@ -337,7 +343,7 @@
                 mesh,
                 streamVersions,
                 servingVersions,
-                this::runsKnownProcess,
+                new ProcessCheck(replicaClient),
                 leavingReplicas,
                 clocks.monotonic(),
                 timers,
@@ -359,20 +365,6 @@
                 timers);
     }
 
-    /** Asks a replica whether it still runs the process that this entry knows. */
-    private CompletableFuture<Boolean> runsKnownProcess(ReplicaState replica) {
-        return replicaClient
-                .report(replica.listed())
-                .map(report -> report.holdings().processStartMillis()
-                        == replica.process().startMillis())
-                .onFailure()
-                .recoverWithItem(failure -> {
-                    LogEvent.DEPENDENCY_STATE.log("replica " + replica.id(), false, failure.getMessage());
-                    return false;
-                })
-                .subscribeAsCompletionStage();
-    }
-
     private void registerGauges(GatewayMetrics metrics) {
         metrics.registerGauge(
                 "tarragonring.config.version",
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -7,11 +7,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
-import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -19,17 +19,13 @@
 import io.vertx.core.http.PoolOptions;
 import org.tarragonring.gateway.call.CallCodec;
 import org.tarragonring.gateway.call.CallHead;
-import org.tarragonring.gateway.catalog.LeavingReplicas;
-import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.fairness.FairnessService;
-import org.tarragonring.gateway.mesh.Mesh;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
 import org.tarragonring.gateway.orders.LoadRequestRouter;
 import org.tarragonring.gateway.quarantine.RequestQuarantine;
 import org.tarragonring.gateway.quota.QuotaReservation;
 import org.tarragonring.gateway.quota.QuotaService;
-import org.tarragonring.gateway.streams.ServingVersions;
-import org.tarragonring.gateway.streams.StreamVersions;
+import org.tarragonring.gateway.routing.UnevenRouting;
 import org.tarragonring.gateway.team.CallAuthenticator;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.ids.ModelName;
@@ -40,10 +36,7 @@
 import org.tarragonring.policy.config.Route;
 import org.tarragonring.policy.config.ServiceSpec;
 import org.tarragonring.policy.config.ServingConfig;
-import org.tarragonring.policy.replica.ReplicaState;
-import org.tarragonring.policy.routing.ReplicaPicker;
 import org.tarragonring.policy.team.Team;
-import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
 
@@ -94,6 +87,7 @@
     private final QuotaService quotas;
     private final ShutdownAdmission shutdownAdmission;
     private final FairnessService fairness;
+    private final UnevenRouting routing;
     private final Forwarder forwarder;
     private final DemandReporter demandReporter;
     private HttpServer server;
@@ -111,67 +105,84 @@
      * @param loadRouter receives requests to load adapters, not null
      */
     public CallServer(
-            Context context,
+            CallServerContext context,
             Supplier<Optional<ServingConfig>> config,
             BooleanSupplier ready,
             BooleanSupplier shuttingDown,
             RetryBudgets budgets,
             RequestQuarantine quarantine,
             LoadRequestRouter loadRouter) {
-        this.vertx = context.vertx;
-        this.address = context.address;
-        this.codec = context.codec;
+        this.vertx = context.vertx();
+        this.address = context.address();
+        this.codec = context.codec();
         this.config = Objects.requireNonNull(config, "config");
         this.ready = Objects.requireNonNull(ready, "ready");
-        this.clock = context.clock;
-        this.random = context.random;
-        this.authenticator = context.authenticator;
-        this.quotas = context.quotas;
-        this.callerConnections = new CallerConnections(() -> limits().idleTimeout(), context.clock, context.timers);
-        this.stallDetector = new StallDetector(context.clock, context.timers);
-        this.timers = context.timers;
+        this.clock = context.clock();
+        this.random = context.random();
+        this.authenticator = context.authenticator();
+        this.quotas = context.quotas();
+        this.callerConnections = new CallerConnections(() -> limits().idleTimeout(), context.clock(), context.timers());
+        this.stallDetector = new StallDetector(context.clock(), context.timers());
+        this.timers = context.timers();
         this.localResponses = new LocalResponses(shuttingDown);
         MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_BYTES_PER_BODY_BYTE);
         this.bodyReader = new BodyReader(memory, callerConnections, timers);
-        HttpClientOptions options = new HttpClientOptions()
-                .setSendBufferSize(SOCKET_BUFFER_BYTES)
-                .setReceiveBufferSize(SOCKET_BUFFER_BYTES)
-                .setKeepAlive(false)
-                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
-                .setDecompressionSupported(false);
-        this.fairness =
-                new FairnessService(context.mesh, config, context.catalog, context.metrics, clock, timers, random);
+        this.fairness = new FairnessService(
+                context.mesh(), config, context.catalog(), context.metrics(), clock, timers, random);
+        this.routing = new UnevenRouting(
+                context.failureDomain(),
+                context.mesh(),
+                context.catalog(),
+                config,
+                clock,
+                timers,
+                random,
+                context.metrics());
         this.forwarder = new Forwarder(
                 codec,
-                context.catalog,
-                new ReplicaPicker(context.failureDomain, random),
-                context.ejections,
-                vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_REPLICA)),
+                context.catalog(),
+                routing,
+                context.ejections(),
+                createReplicaClient(vertx),
                 budgets,
                 quarantine,
                 clock,
-                context.timers,
+                context.timers(),
                 callerConnections,
                 localResponses,
-                context.leavingReplicas,
+                context.leavingReplicas(),
                 memory,
                 new StreamResumption(
-                        context.streamVersions, context.servingVersions, context.catalog, context.processCheck),
-                context.metrics,
+                        context.streamVersions(), context.servingVersions(), context.catalog(), context.processCheck()),
+                context.metrics(),
                 new LoadExpectation(
-                        context.catalog,
+                        context.catalog(),
                         clock,
-                        context.timers,
+                        context.timers(),
                         (service, model) -> config.get().flatMap(current -> current.findModel(service, model))),
                 fairness.calls());
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
-        this.demandReporter =
-                new DemandReporter(forwarder, context.catalog, loadRouter, context.mesh, clock, context.timers);
-        context.catalog.addChangeListener(forwarder::dispatchWaiting);
-        context.catalog.addFailureListener(forwarder::onReplicaFailed);
-        context.metrics.registerGauge("tarragonring.calls.in.flight", forwarder::inFlight);
-        context.metrics.registerGauge("tarragonring.bodies.bytes", memory::usedBytes);
-        context.metrics.registerGauge(
+        this.demandReporter = new DemandReporter(
+                forwarder, context.catalog(), routing, loadRouter, context.mesh(), clock, context.timers());
+        context.catalog().addChangeListener(forwarder::dispatchWaiting);
+        context.catalog().addFailureListener(forwarder::onReplicaFailed);
+        registerGauges(context.metrics(), memory);
+    }
+
+    private static HttpClientAgent createReplicaClient(Vertx vertx) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setSendBufferSize(SOCKET_BUFFER_BYTES)
+                .setReceiveBufferSize(SOCKET_BUFFER_BYTES)
+                .setKeepAlive(false)
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setDecompressionSupported(false);
+        return vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_REPLICA));
+    }
+
+    private void registerGauges(GatewayMetrics metrics, MemoryBudget memory) {
+        metrics.registerGauge("tarragonring.calls.in.flight", forwarder::inFlight);
+        metrics.registerGauge("tarragonring.bodies.bytes", memory::usedBytes);
+        metrics.registerGauge(
                 "tarragonring.calls.waiting", () -> forwarder.waiting().size());
     }
 
@@ -191,6 +202,7 @@
                 .requestHandler(this::onRequest);
         fairness.start();
         demandReporter.start();
+        routing.start();
         callerConnections.start();
         stallDetector.start();
         return server.listen(address.port(), address.host())
@@ -207,6 +219,7 @@
     public CompletableFuture<Void> stop() {
         fairness.stop();
         demandReporter.stop();
+        routing.stop();
         callerConnections.stop();
         stallDetector.stop();
         return server == null
@@ -244,6 +257,15 @@
         return forwarder.inFlight();
     }
 
+    /**
+     * Returns what chooses replicas, which also knows their speeds while this entry plans.
+     *
+     * @return the choice of replicas, never null
+     */
+    public UnevenRouting unevenRouting() {
+        return routing;
+    }
+
     private RequestLimits limits() {
         return config.get().map(ServingConfig::limits).orElse(RequestLimits.DEFAULT);
     }
@@ -460,44 +482,4 @@
             call.quota.giveBack();
         }
     }
-
-    /**
-     * The collaborators of a call server.
-     *
-     * @param vertx the Vert.x instance that runs the server, not null
-     * @param address the address to listen on, not null
-     * @param failureDomain this entry's failure domain, not null
-     * @param codec reads and writes the headers of calls, not null
-     * @param catalog the known replicas, not null
-     * @param ejections the failing replicas that get no calls, not null
-     * @param mesh the connection to the other entries, not null
-     * @param streamVersions knows which software version began a stream, not null
-     * @param servingVersions knows which software versions may have begun streams, not null
-     * @param processCheck asks a replica whether it still runs the known process; never fails, not null
-     * @param leavingReplicas receives the announcements of replicas that are about to shut down, not null
-     * @param clock the monotonic clock, not null
-     * @param timers schedules timeouts and periodic reports, not null
-     * @param random returns random numbers from 0 to 1, not null
-     * @param metrics records metrics of calls, not null
-     * @param authenticator finds the team of each call, not null
-     * @param quotas holds the limits of teams, not null
-     */
-    public record Context(
-            Vertx vertx,
-            HostPort address,
-            String failureDomain,
-            CallCodec codec,
-            ReplicaCatalog catalog,
-            Ejections ejections,
-            Mesh mesh,
-            StreamVersions streamVersions,
-            ServingVersions servingVersions,
-            Function<ReplicaState, CompletableFuture<Boolean>> processCheck,
-            LeavingReplicas leavingReplicas,
-            MonotonicClock clock,
-            Timers timers,
-            DoubleSupplier random,
-            GatewayMetrics metrics,
-            CallAuthenticator authenticator,
-            QuotaService quotas) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/mesh/Mesh.java
@@ -139,6 +139,15 @@
         onListed = Objects.requireNonNull(receiver, "receiver");
     }
 
+    /**
+     * Returns the id of this entry.
+     *
+     * @return the id, never null
+     */
+    public EntryId self() {
+        return settings.id();
+    }
+
     /**
      * Opens the UDP socket and starts receiving messages.
      *
@@ -253,15 +262,6 @@
         return table.find(id).map(Member::isUsable).orElse(false);
     }
 
-    /**
-     * Returns the id of this entry.
-     *
-     * @return the id, never null
-     */
-    public EntryId self() {
-        return settings.id();
-    }
-
     /**
      * Selects the entry responsible for a duty by rendezvous hashing, among the entries that reach the store if there
      * are any.
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/KeyedCalls.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/KeyedCalls.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import io.smallrye.mutiny.Uni;
 import org.tarragonring.entry.Clocks;
 import org.tarragonring.gateway.follow.StoreWatcher;
 import org.tarragonring.gateway.metrics.GatewayMetrics;
@@ -28,6 +29,12 @@
     static final String UNCONFIRMED_REASON =
             "calls with keys are refused, as the store has not confirmed the configuration recently";
 
+    /**
+     * How long before calls with keys would be refused the configuration is requested beside the watch: the time for two
+     * requests. A watch may hang for seconds while the store responds to other requests.
+     */
+    private static final Duration REQUEST_AHEAD = Duration.ofMillis(700);
+
     /** How late a change may be logged; bounds the number of checks. */
     private static final Duration MIN_CHECK_DELAY = Duration.ofMillis(200);
 
@@ -35,6 +42,8 @@
     private final Supplier<Optional<ServingConfig>> config;
     private final KeyFreshness freshness;
     private final Timers timers;
+    private Supplier<Uni<?>> configRequest = () -> Uni.createFrom().voidItem();
+    private boolean requestInProgress;
     private Timers.Task nextCheck = () -> {};
     private boolean refusing;
 
@@ -79,8 +88,10 @@
      * Learns from the watcher of the configuration as of when it is confirmed.
      *
      * @param configWatcher the watcher, not started; not null
+     * @param request requests the configuration once and puts it in force, not null
      */
-    public void follow(StoreWatcher configWatcher) {
+    public void follow(StoreWatcher configWatcher, Supplier<Uni<?>> request) {
+        configRequest = Objects.requireNonNull(request, "request");
         if (freshness.isBounded()) {
             configWatcher.onRequestSent(freshness::onRequestSent);
         }
@@ -124,8 +135,28 @@
             refusing = refusesNow;
             LogEvent.KEYED_CALLS_SERVED.log(self, !refusing, freshness.ageMillis());
         }
-        Duration remaining = Duration.ofMillis(freshness.remainingMillis() + 1);
+        Duration remaining = Duration.ofMillis(freshness.remainingMillis()).minus(REQUEST_AHEAD);
+        if (remaining.isNegative()) {
+            requestConfig();
+        }
         nextCheck =
                 timers.schedule(remaining.compareTo(MIN_CHECK_DELAY) > 0 ? remaining : MIN_CHECK_DELAY, this::check);
     }
+
+    private void requestConfig() {
+        if (requestInProgress || config.get().flatMap(ServingConfig::teams).isEmpty()) {
+            return;
+        }
+        requestInProgress = true;
+        Runnable confirm = freshness.onRequestSent();
+        configRequest.get().subscribe().with(done -> onRequestEnded(confirm), failure -> {
+            // The watcher logs that the store is unreachable; the next check sends the request again.
+            onRequestEnded(() -> {});
+        });
+    }
+
+    private void onRequestEnded(Runnable confirm) {
+        requestInProgress = false;
+        confirm.run();
+    }
 }
