Cut accounts of a lowered limit when the configuration arrives

They were cut with the next check, up to 250 ms later. The burst that is due after a window is given before, so that it is cut, too.

Tests: QuotaServiceTest, QuotaBoundTest, QuotaAccountTest and TokenBucketTest pass.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/QuotaService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/QuotaService.java
@@ -160,6 +160,14 @@
     /** Applies a new configuration, at once and not only with the next call, so that a lowered limit holds. */
     public void onConfigChanged() {
         quotas.forEach((name, quota) -> limitOf(name).ifPresent(quota::setLimit));
+        accounts.forEach(this::applyLimit);
+        openedMillis = clock.millis() - OPEN_INTERVAL.toMillis();
+    }
+
+    private void applyLimit(TeamName team, CoordinatedAccount account) {
+        if (!account.isClosed()) {
+            limitOf(team).ifPresent(limit -> account.account.setLimit(limit, entryShare.share()));
+        }
     }
 
     private static long cost(QuotaLimit limit, Optional<TokenCount> tokenCount) {
@@ -289,8 +297,8 @@
             account.account.removeOldAnswers();
             if (!coordinates(entry.getKey())) {
                 close(entry.getKey(), account);
-            } else if (!account.isClosed()) {
-                limitOf(entry.getKey()).ifPresent(limit -> account.account.setLimit(limit, entryShare.share()));
+            } else {
+                applyLimit(entry.getKey(), account);
             }
             if (account.isClosed()
                     && clock.millis() - account.closedMillis.get() >= CLOSED_ACCOUNT_VALIDITY.toMillis()) {
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/quota/QuotaServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/quota/QuotaServiceTest.java
@@ -144,7 +144,7 @@
         time.advance(Duration.ofSeconds(10));
         limit = new QuotaLimit(10, 20, true, 10);
         service.onConfigChanged();
-        time.advance(Duration.ofMillis(300));
+        limit = LIMIT;
         service.onRequest(COORDINATOR, new PeerMessage.QuotaRequest(NAME, 1, 30_000, 0));
 
         assertEquals(0, grants.get(0).grantedTokens(), "with the former burst the debt would have been allowed");
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaAccount.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaAccount.java
@@ -59,6 +59,7 @@
      *     of a partition grant no more than the limit together
      */
     public void setLimit(QuotaLimit newLimit, double share) {
+        giveBurstIfDue();
         limit = Objects.requireNonNull(newLimit, "newLimit");
         fillRatePerSecond = limit.ratePerSecond() * share;
         // A limit that counts calls must let at least one call pass.
@@ -88,10 +89,7 @@
         if (last != null && sequence <= last.sequence() && nowMillis - last.atMillis() < ANSWER_VALIDITY_MILLIS) {
             return sequence == last.sequence() ? last : new Answer(sequence, 0, 0, nowMillis);
         }
-        if (!burstGiven && nowMillis - startMillis >= settings.window().toMillis()) {
-            burstGiven = true;
-            bucket.fillUp();
-        }
+        giveBurstIfDue();
         bucket.credit(returned);
         double maxDebt = settings.maxDebt(limit);
         boolean isGranted = wanted == 0 || bucket.tryTake(wanted, maxDebt);
@@ -101,6 +99,13 @@
         return answer;
     }
 
+    private void giveBurstIfDue() {
+        if (!burstGiven && clock.millis() - startMillis >= settings.window().toMillis()) {
+            burstGiven = true;
+            bucket.fillUp();
+        }
+    }
+
     /** Returns when there are tokens for a refused call, after those for the calls that were refused before. */
     private long promise(long wanted, double maxDebt, long nowMillis) {
         long windowMillis = settings.window().toMillis();
