--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/ReplicaSpeeds.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/ReplicaSpeeds.java
@@ -37,7 +37,7 @@
     private static final double EQUAL_SPREAD = 1.25;
 
     /** How many standard errors of its estimate a replica must differ from the median to count as different. */
-    private static final double STANDARD_ERRORS_WHILE_EQUAL = 2.5;
+    private static final double STANDARD_ERRORS_WHILE_EQUAL = 3.5;
 
     /** The same while the replicas differ: slow ones get fewer calls, so that their estimates are less certain. */
     private static final double STANDARD_ERRORS_WHILE_DIFFERENT = 1;
@@ -83,7 +83,7 @@
         }
         Group group = groups.computeIfAbsent(service, name -> new Group(rule));
         services.put(replica, service);
-        SpeedEstimate estimate = group.estimates.computeIfAbsent(replica, id -> new SpeedEstimate(rule.decay()));
+        SpeedEstimate estimate = group.estimates.computeIfAbsent(replica, id -> new SpeedEstimate(rule));
         double squaredNoise = estimate.add(
                 clock.millis(), samples, LoadSlope.scaled(loadCalls), Math.log(ratio), group.slope, group.noise);
         if (squaredNoise > 0) {
@@ -102,7 +102,7 @@
     public void guess(ServiceName service, SpeedRule rule, UpstreamId replica, double speed) {
         Group group = groups.computeIfAbsent(service, name -> new Group(rule));
         if (services.putIfAbsent(replica, service) == null) {
-            SpeedEstimate estimate = new SpeedEstimate(rule.decay());
+            SpeedEstimate estimate = new SpeedEstimate(rule);
             estimate.guess(clock.millis(), -Math.log(speed));
             group.estimates.put(replica, estimate);
             group.differ = true;
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/SpeedEstimate.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/SpeedEstimate.java
@@ -17,19 +17,16 @@
     /** More samples of one report count as this many: they mostly belong to the same calls. */
     private static final int MAX_SAMPLES_PER_REPORT = 4;
 
-    /** The number of samples from which on an estimate is used. */
-    private static final double MIN_SAMPLES = 3;
-
-    /** How long an estimate stays as it is without samples. */
-    private static final Duration FRESH = Duration.ofSeconds(3);
-
-    /** The time constant of the return to the usual speed after that, so that a replica is tried again. */
-    private static final Duration FORGETTING = Duration.ofSeconds(8);
+    /**
+     * The number of samples from which on an estimate is used. With 3, single late first events made equal replicas
+     * differ shortly after the start.
+     */
+    private static final double MIN_SAMPLES = 8;
 
     /** The age at which an estimate no longer counts as known. */
     private static final Duration LIFETIME = Duration.ofSeconds(20);
 
-    private final Duration decay;
+    private final SpeedRule rule;
     private double weight;
     private double samples;
     private double meanLoad;
@@ -37,8 +34,8 @@
     private long updatedMillis;
     private int changeDirection;
 
-    SpeedEstimate(Duration decay) {
-        this.decay = decay;
+    SpeedEstimate(SpeedRule rule) {
+        this.rule = rule;
     }
 
     /**
@@ -48,7 +45,8 @@
      */
     double add(long nowMillis, int count, double load, double logTime, LoadSlope slope, double noise) {
         double added = Math.min(count, MAX_SAMPLES_PER_REPORT);
-        double before = weight * Math.exp(-(nowMillis - updatedMillis) / (double) decay.toMillis());
+        double before = weight
+                * Math.exp(-(nowMillis - updatedMillis) / (double) rule.decay().toMillis());
         double difference = logTime - meanLogTime - slope.slope() * (load - meanLoad);
         double squaredNoise = 0;
         double changeBound = Math.max(CHANGE_LOG_RATIO, CHANGE_DEVIATIONS * Math.sqrt(noise / added));
@@ -94,7 +92,9 @@
 
     /** Returns how much of the difference from the usual speed still counts, from 1 for recent samples towards 0. */
     double trust(long nowMillis) {
-        long overdueMillis = nowMillis - updatedMillis - FRESH.toMillis();
-        return overdueMillis <= 0 ? 1 : Math.exp(-overdueMillis / (double) FORGETTING.toMillis());
+        long overdueMillis = nowMillis - updatedMillis - rule.fresh().toMillis();
+        return overdueMillis <= 0
+                ? 1
+                : Math.exp(-overdueMillis / (2.0 * rule.fresh().toMillis()));
     }
 }
