--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/LoadDigestService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/LoadDigestService.java
@@ -57,7 +57,7 @@
 
     private static final int BYTES_PER_REPLICA = 12;
 
-    /** What of a demand report and its answer fits into one datagram in any case. */
+    /** What fits into one datagram of 8,192 bytes, with room for membership updates. */
     private static final int MAX_REPLICAS = 400;
 
     /** How often an entry that does not plan checks whether it has to. A report makes it check at once. */
@@ -121,7 +121,9 @@
 
     /** Adds the report of an entry. */
     void onReport(EntryId from, PeerMessage.DemandReport report) {
-        checkDuty();
+        if (!planning) {
+            checkDuty();
+        }
         if (!planning) {
             return;
         }
@@ -157,6 +159,16 @@
         }
     }
 
+    private void forgetRemoved() {
+        List<UpstreamId> removed = processes.keySet().stream()
+                .filter(replica -> catalog.find(replica).isEmpty())
+                .toList();
+        removed.forEach(replica -> {
+            processes.remove(replica);
+            speeds.forget(replica);
+        });
+    }
+
     private void checkDuty() {
         boolean isPlanner = mesh.entryFor(PlanningService.DUTY).equals(mesh.self());
         if (isPlanner == planning) {
@@ -176,7 +188,10 @@
     private void guessSpeeds() {
         for (ReplicaState replica : catalog.all()) {
             ServiceName service = replica.listed().service();
-            view.lastSpeed(replica.id()).ifPresent(speed -> speeds.guess(service, rule(service), replica.id(), speed));
+            view.lastSpeed(replica.id()).ifPresent(speed -> {
+                processes.put(replica.id(), replica.process());
+                speeds.guess(service, rule(service), replica.id(), speed);
+            });
         }
     }
 
@@ -184,6 +199,7 @@
         checkDuty();
         if (planning) {
             fleetLoad.expire();
+            forgetRemoved();
             speeds.services().forEach(this::update);
             sendDigest();
         }
