--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/QuotaService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/QuotaService.java
@@ -174,9 +174,7 @@
         if (!limit.countsTokens()) {
             return 1;
         }
-        return tokenCount
-                .map(count -> count.promptTokens() + count.maxOutputTokens())
-                .orElse(limit.plainTokens());
+        return tokenCount.map(TokenCount::total).orElse(limit.plainTokens());
     }
 
     private TeamQuota createQuota(TeamName team, QuotaLimit limit) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/TeamQuota.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/quota/TeamQuota.java
@@ -139,13 +139,18 @@
 
     private void request(boolean forAll) {
         long needed = forAll
-                ? waiting.stream().mapToLong(QuotaReservation::tokens).sum()
+                ? waiting.stream().mapToLong(QuotaReservation::tokens).reduce(0, TeamQuota::addWithoutOverflow)
                 : waiting.peek().tokens();
         QuotaBalance.Request request = balance.request(needed);
         open = Optional.of(request);
         transmit(request);
     }
 
+    /** Adds numbers of tokens, which callers choose freely. */
+    private static long addWithoutOverflow(long one, long other) {
+        return one > Long.MAX_VALUE - other ? Long.MAX_VALUE : one + other;
+    }
+
     /** Sends the open request, and again until it is answered. The answer may arrive before this method returns. */
     private void transmit(QuotaBalance.Request request) {
         long remainingMillis = request.sentMillis() + QuotaSettings.MAX_WAIT.toMillis() - clock.millis();
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/quota/QuotaServiceTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/quota/QuotaServiceTest.java
@@ -102,6 +102,17 @@
         assertFalse(third.isRefused() || third.isPending());
     }
 
+    // Guards against a negative request, which would fill the account.
+    @Test
+    void callsOfAnySizeAddUpWithoutOverflow() {
+        reserve(500);
+        reserve(Long.MAX_VALUE);
+        reserve(Long.MAX_VALUE);
+        answer(500, 0);
+
+        assertEquals(Long.MAX_VALUE, last().wantedTokens());
+    }
+
     @Test
     void callIsDecidedByTheReserveIfTheCoordinatorDoesNotAnswer() {
         QuotaReservation large = reserve(5_000);
