Take single stalls of streams for noise

A sample of four events after 100 ms counted a stall while another call's prompt was read as a replica ten times slower, as did reports that are sent every 100 ms while calls wait.

A sample of a running stream covers 400 ms at least, of an ended one 100 ms, and a ratio counts as 8 at most.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/AttemptTiming.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/AttemptTiming.java
@@ -68,7 +68,7 @@
      */
     public void onEnded(boolean succeeded) {
         if (succeeded && firstCount != NONE && !readerIsSlow && eventCount > sampledCount) {
-            timings.onSteps(this, eventCount - sampledCount, (lastEventNanos - sampledNanos) / 1e6);
+            timings.onSteps(this, eventCount - sampledCount, (lastEventNanos - sampledNanos) / 1e6, true);
         }
         timings.onEnded(this, succeeded, timings.millisSince(startNanos), eventCount);
     }
@@ -80,7 +80,7 @@
         }
         if (firstCount == NONE) {
             timings.onWaiting(this, timings.millisSince(startNanos));
-        } else if (timings.onSteps(this, eventCount - sampledCount, timings.millisSince(sampledNanos))) {
+        } else if (timings.onSteps(this, eventCount - sampledCount, timings.millisSince(sampledNanos), false)) {
             sampledCount = eventCount;
             sampledNanos = timings.nanos();
         }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/AttemptTimings.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/AttemptTimings.java
@@ -32,10 +32,19 @@
     /** The number of events that make one sample; fewer say little, as events arrive in bursts. */
     private static final int MIN_STEPS = 4;
 
+    /**
+     * The time that a sample of a running stream covers at least. Reading a long prompt of another call may stall a stream
+     * for a quarter of a second.
+     */
+    private static final double MIN_RUNNING_MILLIS = 400;
+
+    /** The same at the end of a stream, whose last part is shorter. */
+    private static final double MIN_ENDED_MILLIS = 100;
+
     /** A first event that takes longer than this many times the usual time counts as a sample before it arrives. */
     private static final double OVERDUE_FACTOR = 3;
 
-    /** The share of a stall within a stream after which it counts as a sample, as a multiple of the usual interval. */
+    /** A stall of a stream counts as a sample from this many times the usual time between events on. */
     private static final double STALL_FACTOR = 20;
 
     private final ResponseTimes times;
@@ -104,8 +113,11 @@
     }
 
     /** Records the events since the last sample, and returns whether they were enough to be one. */
-    boolean onSteps(AttemptTiming timing, int steps, double elapsedMillis) {
-        if (steps >= MIN_STEPS && elapsedMillis > 0) {
+    boolean onSteps(AttemptTiming timing, int steps, double elapsedMillis, boolean isEnded) {
+        if (elapsedMillis < (isEnded ? MIN_ENDED_MILLIS : MIN_RUNNING_MILLIS)) {
+            return false;
+        }
+        if (steps >= MIN_STEPS) {
             add(timing.replica(), times.recordSteps(steps, elapsedMillis));
             return true;
         }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/routing/AttemptTimingsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/routing/AttemptTimingsTest.java
@@ -48,6 +48,17 @@
         assertTrue(timings.drain().isEmpty());
     }
 
+    // Guards against replicas that count as slow while a long prompt of another call is read.
+    @Test
+    void shortStallOfAStreamIsNoSample() {
+        AttemptTiming timing = start(STREAM, AttemptTiming.Kind.MODEL_STREAM, true);
+        time.skip(Duration.ofMillis(100));
+        timing.onEvents(1, false);
+        time.skip(Duration.ofMillis(300));
+        timing.onEvents(6, false);
+        assertTrue(timings.drain().isEmpty());
+    }
+
     // Guards against a replica that accepts calls and sends nothing, and counts as usual until they time out.
     @Test
     void replicaWithoutFirstEventIsReportedBeforeTheCallEnds() {
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/ReplicaSpeeds.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/ReplicaSpeeds.java
@@ -53,6 +53,9 @@
 
     private static final double MAX_SPEED = 5;
 
+    /** Bounds of a ratio: a single stall says no more than that a replica was slow. */
+    private static final double MAX_RATIO = 8;
+
     private final MonotonicClock clock;
     private final Map<ServiceName, Group> groups = new HashMap<>();
     private final Map<UpstreamId, ServiceName> services = new HashMap<>();
@@ -81,11 +84,12 @@
         if (samples < 1 || !(ratio > 0) || Double.isInfinite(ratio)) {
             return;
         }
+        double logTime = Math.log(Math.min(MAX_RATIO, Math.max(1 / MAX_RATIO, ratio)));
         Group group = groups.computeIfAbsent(service, name -> new Group(rule));
         services.put(replica, service);
         SpeedEstimate estimate = group.estimates.computeIfAbsent(replica, id -> new SpeedEstimate(rule));
-        double squaredNoise = estimate.add(
-                clock.millis(), samples, LoadSlope.scaled(loadCalls), Math.log(ratio), group.slope, group.noise);
+        double squaredNoise =
+                estimate.add(clock.millis(), samples, LoadSlope.scaled(loadCalls), logTime, group.slope, group.noise);
         if (squaredNoise > 0) {
             group.noise += NOISE_WEIGHT * (squaredNoise - group.noise);
         }
