--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/team/KeyedCallsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/team/KeyedCallsTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.smallrye.mutiny.Uni;
 import org.junit.jupiter.api.Test;
 import org.tarragonring.entry.Clocks;
 import org.tarragonring.gateway.ManualTime;
@@ -27,6 +28,7 @@
 
     private final ManualTime time = new ManualTime();
     private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    private Uni<?> configRequest = Uni.createFrom().failure(new IllegalStateException("unreachable"));
     private Optional<TeamDirectory> teams = Optional.of(new TeamDirectory(List.of(), Map.of()));
 
     @Test
@@ -45,6 +47,19 @@
                 registry.get("tarragonring.keys.confirmed.age.ms").gauge().value());
     }
 
+    // Guards against calls that are refused while only the watch hangs, as when the store drops its history.
+    @Test
+    void requestBesideAHangingWatchKeepsKeysInUse() {
+        configRequest = Uni.createFrom().voidItem();
+        KeyedCalls keyedCalls = create(new KeySettings(Duration.ofSeconds(5), true));
+        watch(keyedCalls);
+
+        for (int second = 0; second < 20; second++) {
+            time.advance(Duration.ofSeconds(1));
+            assertTrue(keyedCalls.refusalReason().isEmpty(), "refused after " + second + " s");
+        }
+    }
+
     @Test
     void nothingIsRefusedWithoutTeamsOrWithoutABound() {
         KeyedCalls bounded = create(new KeySettings(Duration.ofSeconds(5), true));
@@ -66,7 +81,7 @@
                 time,
                 object -> {},
                 key -> {});
-        keyedCalls.follow(watcher);
+        keyedCalls.follow(watcher, () -> configRequest);
         watcher.start();
         keyedCalls.start();
     }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/TokenBucket.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/TokenBucket.java
@@ -16,8 +16,11 @@
  */
 public final class TokenBucket {
 
-    /** Tokens that are returned later than this after their grant are not credited; longer than any call waits. */
-    public static final Duration MAX_RETURN_AGE = Duration.ofSeconds(20);
+    /**
+     * Tokens that are returned later than this after their grant are not credited. Nearly all calls that are refused end
+     * within this time. A full bucket credits nothing for this long, so that 20 s made teams lose their refused calls' tokens.
+     */
+    public static final Duration MAX_RETURN_AGE = Duration.ofSeconds(5);
 
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final int SLOTS = (int) MAX_RETURN_AGE.toSeconds() + 1;
