Bound digests that slow calls of plain services cause

Digests at intervals of 50 ms cost about 3 KB/s an entry, beyond the budget of 2 KB/s, and 7,600 datagrams a second at 380 entries.

They come 100 ms after the last one at the earliest, and within the bound of 600 datagrams a second.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/LoadDigestService.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/routing/LoadDigestService.java
@@ -47,7 +47,7 @@
     private static final int MAX_DATAGRAMS_PER_SECOND = 600;
 
     /** The minimum time between two digests that are sent because of slow calls of a plain service. */
-    private static final Duration MIN_DIGEST_INTERVAL = Duration.ofMillis(50);
+    private static final Duration MIN_DIGEST_INTERVAL = Duration.ofMillis(100);
 
     /** What an entry may receive in digests. */
     private static final int MAX_BYTES_PER_SECOND = 2_000;
@@ -208,9 +208,13 @@
         }
     }
 
+    /** Returns the shortest interval between digests with which the number of datagrams stays within its bound. */
+    private long boundedMillis() {
+        return (long) (mesh.alive().size() * MILLIS_PER_SECOND / MAX_DATAGRAMS_PER_SECOND);
+    }
+
     private Duration period() {
-        long millis = (long) (mesh.alive().size() * MILLIS_PER_SECOND / MAX_DATAGRAMS_PER_SECOND);
-        return Duration.ofMillis(Math.max(MIN_DIGEST_PERIOD.toMillis(), millis));
+        return Duration.ofMillis(Math.max(MIN_DIGEST_PERIOD.toMillis(), boundedMillis()));
     }
 
     private void digestSoon() {
@@ -218,7 +222,8 @@
             return;
         }
         digestScheduled = true;
-        long delayMillis = lastDigestMillis + MIN_DIGEST_INTERVAL.toMillis() - clock.millis();
+        long intervalMillis = Math.max(MIN_DIGEST_INTERVAL.toMillis(), boundedMillis());
+        long delayMillis = lastDigestMillis + intervalMillis - clock.millis();
         timers.schedule(Duration.ofMillis(Math.max(1, delayMillis)), () -> {
             digestScheduled = false;
             if (planning) {
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/FleetLoad.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/routing/FleetLoad.java
@@ -5,7 +5,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.UpstreamId;
@@ -78,15 +77,6 @@
         return totals.getOrDefault(replica, 0);
     }
 
-    /**
-     * Returns the replicas with calls.
-     *
-     * @return a live view, never null
-     */
-    public Set<UpstreamId> replicas() {
-        return totals.keySet();
-    }
-
     private void subtract(Report report) {
         report.running.forEach((replica, count) ->
                 totals.computeIfPresent(replica, (id, total) -> total <= count ? null : total - count));
