--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaAccount.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaAccount.java
@@ -61,9 +61,9 @@
     public void setLimit(QuotaLimit newLimit, double share) {
         giveBurstIfDue();
         limit = Objects.requireNonNull(newLimit, "newLimit");
-        fillRatePerSecond = limit.ratePerSecond() * share;
+        fillRatePerSecond = settings.grantedRatePerSecond(limit) * share;
         // A limit that counts calls must let at least one call pass.
-        double capacity = Math.max(limit.countsTokens() ? 0 : 1, limit.burst() * share);
+        double capacity = Math.max(limit.countsTokens() ? 0 : 1, settings.grantedBurst(limit) * share);
         bucket.setLimit(fillRatePerSecond, capacity);
     }
 
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaSettings.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaSettings.java
@@ -22,6 +22,12 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * The part of the overage and of the slack that teams may use. Entries cannot know the window in which a platform counts,
+     * so that a team just within its limit would be refused without it; the rest covers partitions and messages on their way.
+     */
+    private static final double TOLERANCE_PART = 0.5;
+
     /** The part of the slack that one bucket may owe; two buckets may, on both sides of a partition. */
     private static final double DEBT_PART = 0.25;
 
@@ -56,6 +62,26 @@
         return (limit.ratePerSecond() * windowSeconds + limit.burst()) * (1 + overage) + slackTokens;
     }
 
+    /**
+     * Returns the rate at which the tokens of a team are granted.
+     *
+     * @param limit the limit of the team, not null
+     * @return tokens or calls per second, somewhat above the limit
+     */
+    public double grantedRatePerSecond(QuotaLimit limit) {
+        return limit.ratePerSecond() * (1 + overage * TOLERANCE_PART);
+    }
+
+    /**
+     * Returns how much is granted to a team at once.
+     *
+     * @param limit the limit of the team, not null
+     * @return tokens or calls, above the burst of the limit
+     */
+    public double grantedBurst(QuotaLimit limit) {
+        return limit.burst() + slackTokens * TOLERANCE_PART;
+    }
+
     /**
      * Returns how much a bucket may owe after a grant, so that large calls have the same chance as small ones.
      *
