Send slow calls that may be repeated to a second replica

Operators accept extra work on replicas if it cuts the slowest responses, within a limit that they set. A call that may be repeated is sent to a second replica when the first one takes longer than 95 in 100 calls of its class; the first response counts, the other attempt is ended. It is off unless `call-share` of section `hedging` is set, and gives way to shortages, slow services, the retry budget and the deadline.

An exchange may have two requests in progress.

What it changes on the users' deployments is not measured.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -192,6 +192,8 @@
     CALL_QUARANTINED(715, Logger.Level.INFO, "request %s is quarantined for %s ms more"),
     /** A call was refused because a part of its prompt is quarantined. */
     CALL_WITH_QUARANTINED_PART(717, Logger.Level.INFO, "prompt part %s, fingerprint %s, is quarantined for %s ms more"),
+    /** A slow call was sent to a second replica. */
+    CALL_HEDGED(718, Logger.Level.INFO, "sent to replica %s as well, as replica %s has not responded, waited %s ms"),
     /** The entry stopped to serve calls with keys, or serves them again. */
     KEYED_CALLS_SERVED(
             720,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -350,7 +350,8 @@
                 random::nextDouble,
                 metrics,
                 keyedCalls.authenticator(),
-                quotas);
+                quotas,
+                settings.hedging());
     }
 
     private ServingVersions createServingVersions(GatewayDependencies dependencies) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 import org.tarragonring.ids.EntryId;
 import org.tarragonring.ids.HostPort;
 import org.tarragonring.policy.budget.RetryBudgetSettings;
+import org.tarragonring.policy.hedge.HedgeSettings;
 import org.tarragonring.policy.quota.QuotaSettings;
 import org.tarragonring.policy.team.KeySettings;
 
@@ -27,6 +28,7 @@
  * @param retryBudget the retry budget that all entries share, not null
  * @param keys the settings for the keys of teams, not null
  * @param quotas the bounds within which the limits of teams are held, not null
+ * @param hedging the limit for second attempts of slow calls, not null
  * @since 0.2.0
  */
 public record GatewaySettings(
@@ -43,7 +45,8 @@
         Duration shutdownLimit,
         RetryBudgetSettings retryBudget,
         KeySettings keys,
-        QuotaSettings quotas) {
+        QuotaSettings quotas,
+        HedgeSettings hedging) {
 
     /** The largest maximum of the length of ids; two of them fit into a message between entries. */
     public static final int LARGEST_MAX_ID_BYTES = 2_000;
@@ -66,6 +69,7 @@
         Objects.requireNonNull(retryBudget, "retryBudget");
         Objects.requireNonNull(keys, "keys");
         Objects.requireNonNull(quotas, "quotas");
+        Objects.requireNonNull(hedging, "hedging");
     }
 
     /**
@@ -111,6 +115,7 @@
                 shutdownLimit,
                 retryBudget,
                 KeySettings.OFF,
-                QuotaSettings.OFF);
+                QuotaSettings.OFF,
+                HedgeSettings.OFF);
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -58,6 +58,8 @@
     private AttemptTiming timing;
     private boolean ended;
     private boolean responding;
+    private long sentMillis;
+
     /** Completes when the whole request was written to the connection. */
     private Future<Void> requestSent = Future.failedFuture("not started");
 
@@ -87,7 +89,8 @@
     }
 
     void start() {
-        exchange.activeRequest = request;
+        exchange.activeRequests.add(request);
+        sentMillis = context.clock.millis();
         replica.callStarted(model());
         context.durationEstimator.onStarted(replica.id(), exchange);
         timing = context.routing.onSent(process, exchange.profile(), exchange.timingKind());
@@ -133,9 +136,7 @@
             context.failureMonitor.onRunUnanswered(run);
         }
         replica.callEnded(model());
-        if (exchange.activeRequest == request) {
-            exchange.activeRequest = null;
-        }
+        exchange.activeRequests.remove(request);
         return true;
     }
 
@@ -147,7 +148,7 @@
     }
 
     private void failed(Verdict verdict, String reason) {
-        boolean isCurrent = exchange.activeRequest == request;
+        boolean isCurrent = exchange.activeRequests.contains(request);
         if (!end(verdict != Verdict.MAY_HAVE_RUN, false)) {
             return;
         }
@@ -192,7 +193,7 @@
                     Verdict.RAN,
                     "the replica responded with status %d and type %s instead of the rest of the stream"
                             .formatted(response.statusCode(), response.getHeader(HttpHeaders.CONTENT_TYPE)));
-        } else if (response.statusCode() >= SERVER_ERROR && mayRetry()) {
+        } else if (response.statusCode() >= SERVER_ERROR && (mayRetry() || isOtherAttemptRunning())) {
             failed(Verdict.RAN, "the replica responded with status " + response.statusCode());
         } else if (isSuccess && exchange.route.kind() == RouteKind.STREAM) {
             new StreamRelay(response).start();
@@ -226,6 +227,15 @@
                 && exchange.possibleRuns < exchange.route.maxAttempts();
     }
 
+    /** Returns whether nothing of this attempt reaches the caller any more. */
+    private boolean isSuperseded() {
+        return ended || exchange.finished || !exchange.activeRequests.contains(request);
+    }
+
+    private boolean isOtherAttemptRunning() {
+        return !exchange.responseStarted && exchange.activeRequests.size() > 1;
+    }
+
     private void onRejected(int status) {
         if (status == MISDIRECTED_REQUEST) {
             exchange.weights.ifPresent(this::markMissing);
@@ -240,7 +250,7 @@
     }
 
     private void succeeded(int status, String reason) {
-        boolean isCurrent = exchange.activeRequest == request;
+        boolean isCurrent = exchange.activeRequests.contains(request);
         boolean succeeded = status / 100 == 2;
         if (!end(true, succeeded)) {
             return;
@@ -268,6 +278,7 @@
 
     /** Starts the response to the caller with the status and headers of the replica's response. */
     private HttpServerResponse startResponse(HttpClientResponse response) {
+        exchange.endOthers(request);
         HttpServerResponse callerResponse = exchange.request.response();
         callerResponse.setStatusCode(response.statusCode());
         callerResponse.headers().setAll(context.codec.toCaller(response.headers()));
@@ -304,7 +315,7 @@
         }
 
         private void onBytes(Buffer bytes) {
-            if (ended || exchange.finished) {
+            if (isSuperseded()) {
                 return;
             }
             if (callerResponse == null) {
@@ -320,6 +331,7 @@
 
         private void startForwarding() {
             context.listener.onFirstEvent(exchange, process);
+            context.listener.onResponded(exchange, replica, context.clock.millis() - sentMillis);
             exchange.responseStarted = true;
             exchange.bodyStarted = true;
             callerResponse = startResponse(response);
@@ -336,7 +348,7 @@
         }
 
         private void onEnd() {
-            if (ended || exchange.finished) {
+            if (isSuperseded()) {
                 return;
             }
             if (isEndUncertain(response)) {
@@ -344,6 +356,7 @@
                 return;
             }
             if (callerResponse == null) {
+                context.listener.onResponded(exchange, replica, context.clock.millis() - sentMillis);
                 startResponse(response).end(buffered);
             } else {
                 callerResponse.end();
@@ -368,9 +381,11 @@
         }
 
         private void onBytes(Buffer bytes) {
-            if (ended || exchange.finished) {
+            if (isSuperseded()) {
                 return;
             }
+            // The framer keeps parts of events, which must come from one attempt only.
+            exchange.endOthers(request);
             Buffer events = exchange.framer.feed(bytes);
             int partialBytes = exchange.framer.partialLength();
             if (partialBytes > MAX_EVENT_BYTES || !memory.resize(partialBytes)) {
@@ -383,6 +398,7 @@
             HttpServerResponse callerResponse = exchange.request.response();
             if (!exchange.responseStarted) {
                 context.listener.onFirstEvent(exchange, process);
+                context.listener.onResponded(exchange, replica, context.clock.millis() - sentMillis);
                 exchange.responseStarted = true;
                 startResponse(response).setChunked(true);
             }
@@ -392,7 +408,7 @@
         }
 
         private void onEnd() {
-            if (ended || exchange.finished) {
+            if (isSuperseded()) {
                 return;
             }
             if (isEndUncertain(response) || exchange.framer.partialLength() > 0 || !exchange.responseStarted) {
@@ -418,6 +434,9 @@
         /** Handles an attempt whose complete response was forwarded to the caller. */
         void onCompleted(Exchange exchange, int status, String reason);
 
+        /** Handles the response to a call, or its first event, which came so long after the request was sent. */
+        void onResponded(Exchange exchange, ReplicaState replica, long durationMillis);
+
         /** Handles the first event of a stream, just before it is forwarded to the caller. */
         void onFirstEvent(Exchange exchange, ReplicaProcess process);
     }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -36,6 +36,7 @@
 import org.tarragonring.policy.config.Route;
 import org.tarragonring.policy.config.ServiceSpec;
 import org.tarragonring.policy.config.ServingConfig;
+import org.tarragonring.policy.hedge.HedgePolicy;
 import org.tarragonring.policy.team.Team;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
@@ -160,7 +161,8 @@
                         clock,
                         context.timers(),
                         (service, model) -> config.get().flatMap(current -> current.findModel(service, model))),
-                fairness.calls());
+                fairness.calls(),
+                new HedgePolicy(context.hedging(), clock));
         this.shutdownAdmission = new ShutdownAdmission(forwarder.durationEstimator(), clock);
         this.demandReporter = new DemandReporter(
                 forwarder, context.catalog(), routing, loadRouter, context.mesh(), clock, context.timers());
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServerContext.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServerContext.java
@@ -15,6 +15,7 @@
 import org.tarragonring.gateway.streams.StreamVersions;
 import org.tarragonring.gateway.team.CallAuthenticator;
 import org.tarragonring.ids.HostPort;
+import org.tarragonring.policy.hedge.HedgeSettings;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
 import org.tarragonring.time.MonotonicClock;
@@ -40,6 +41,7 @@
  * @param metrics records metrics of calls, not null
  * @param authenticator finds the team of each call, not null
  * @param quotas holds the limits of teams, not null
+ * @param hedging the limit for second attempts of slow calls, not null
  * @since 0.2.0
  */
 public record CallServerContext(
@@ -59,4 +61,5 @@
         DoubleSupplier random,
         GatewayMetrics metrics,
         CallAuthenticator authenticator,
-        QuotaService quotas) {}
+        QuotaService quotas,
+        HedgeSettings hedging) {}
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -70,7 +70,12 @@
     private RequestFingerprint fingerprint;
     private List<Suspect> promptParts;
     private CallProfile profile;
-    HttpClientRequest activeRequest;
+    /** The requests to replicas that have not ended; more than one while a slow call has a second attempt. */
+    final Set<HttpClientRequest> activeRequests = new HashSet<>();
+
+    /** The replica of the second attempt that was sent while the first one still ran; empty if there is none. */
+    Optional<UpstreamId> hedgeReplica = Optional.empty();
+
     ReplicaState replica;
     Runnable cancelTimeout = () -> {};
     /** The number of the newest attempt, counted from 1; 0 before the first. */
@@ -155,6 +160,16 @@
         return fingerprint;
     }
 
+    /** Ends all requests to replicas but one, as its response is forwarded to the caller. */
+    void endOthers(HttpClientRequest kept) {
+        for (HttpClientRequest other : List.copyOf(activeRequests)) {
+            if (other != kept) {
+                activeRequests.remove(other);
+                other.connection().close();
+            }
+        }
+    }
+
     /** Returns the delay after which a call that every replica rejected is sent again. */
     Duration nextBackoff() {
         long delayMillis = MIN_BACKOFF_MILLIS << backoffs;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -25,6 +25,7 @@
 import org.tarragonring.ids.UpstreamId;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.policy.budget.RetryBudgets;
+import org.tarragonring.policy.hedge.HedgePolicy;
 import org.tarragonring.policy.quarantine.ReplicaRuns;
 import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
@@ -50,9 +51,6 @@
     /** A call with less time left than this is refused instead of sent to a replica. */
     private static final long MIN_REMAINING_MILLIS = 15;
 
-    /** Retry-After value when it is not known when a replica will be free. */
-    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
-
     private static final String VERSION_NOT_RECORDED = "the software version of the replicas could not be recorded";
 
     private final ReplicaCatalog catalog;
@@ -64,7 +62,6 @@
     private final MonotonicClock clock;
     private final Timers timers;
     private final CallerConnections callerConnections;
-    private final LocalResponses localResponses;
     private final WaitingCalls waiting;
     private final LoadExpectation loadExpectation;
     private final CallFairness fairness;
@@ -74,6 +71,8 @@
     private final GatewayMetrics metrics;
     private final CallDurationEstimator durationEstimator;
     private final Attempt.Context context;
+    private final HedgeScheduler hedges;
+    private final CallEnding ending;
     private final Map<WeightKey, Integer> arrivals = new HashMap<>();
     private Runnable onWaiting = () -> {};
     private final Set<Exchange> calls = new HashSet<>();
@@ -99,6 +98,7 @@
      * @param metrics records metrics of calls, not null
      * @param loadExpectation decides how long calls wait for a load, not null
      * @param fairness decides how urgent calls are, not null
+     * @param hedgePolicy decides which slow calls get a second attempt, not null
      */
     Forwarder(
             CallCodec codec,
@@ -117,7 +117,8 @@
             StreamResumption resumption,
             GatewayMetrics metrics,
             LoadExpectation loadExpectation,
-            CallFairness fairness) {
+            CallFairness fairness,
+            HedgePolicy hedgePolicy) {
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.client = Objects.requireNonNull(client, "client");
         this.budgets = Objects.requireNonNull(budgets, "budgets");
@@ -125,7 +126,6 @@
         this.clock = Objects.requireNonNull(clock, "clock");
         this.timers = Objects.requireNonNull(timers, "timers");
         this.callerConnections = Objects.requireNonNull(callerConnections, "callerConnections");
-        this.localResponses = Objects.requireNonNull(localResponses, "localResponses");
         this.resumption = Objects.requireNonNull(resumption, "resumption");
         this.selector = new ReplicaSelector(catalog, routing, resumption);
         this.metrics = Objects.requireNonNull(metrics, "metrics");
@@ -135,7 +135,18 @@
         this.fairness = Objects.requireNonNull(fairness, "fairness");
         this.availabilityCheck = new AvailabilityCheck(catalog, fairness);
         this.waiting = new WaitingCalls(fairness);
+        this.ending = new CallEnding(calls, waiting, callerConnections, localResponses, fairness, metrics, clock);
         this.requests = new ReplicaRequests(codec, fairness, clock);
+        this.hedges = new HedgeScheduler(
+                hedgePolicy,
+                selector,
+                budgets,
+                (exchange, replica) -> client.request(requests.create(exchange, replica)),
+                this::startAttempt,
+                failureMonitor,
+                clock,
+                timers,
+                metrics);
         this.context = new Attempt.Context(
                 codec,
                 ejections,
@@ -187,7 +198,7 @@
         budgets.onCall(exchange.service);
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
         scheduleTimeout(exchange, exchange.deadlineMillis);
-        callerConnections.onCallStarted(exchange.request.connection(), () -> onCallerDisconnected(exchange));
+        callerConnections.onCallStarted(exchange.request.connection(), () -> ending.onCallerDisconnected(exchange));
         if (resumption.isResumedByCaller(exchange)) {
             resumption.findVersion(exchange).thenAccept(version -> resume(exchange, version));
         } else {
@@ -204,7 +215,7 @@
         if (mayRun) {
             dispatch(exchange);
         } else if (!exchange.finished) {
-            refuse(exchange, reason);
+            ending.refuse(exchange, reason);
         }
     }
 
@@ -212,7 +223,7 @@
     private void scheduleTimeout(Exchange exchange, long timeoutAtMillis) {
         exchange.cancelTimeout.run();
         Duration remaining = Duration.ofMillis(timeoutAtMillis - clock.millis());
-        exchange.cancelTimeout = timers.schedule(remaining, () -> onTimeout(exchange))::cancel;
+        exchange.cancelTimeout = timers.schedule(remaining, () -> ending.onTimeout(exchange))::cancel;
     }
 
     /** Dispatches the waiting calls whose weights are now resident on a usable replica. */
@@ -230,7 +241,7 @@
         }
         long timeoutAtMillis = exchange.responseStarted ? exchange.deadlineMillis : exchange.firstEventDeadlineMillis;
         if (timeoutAtMillis - clock.millis() < MIN_REMAINING_MILLIS) {
-            refuse(exchange, "too little time remains before the deadline");
+            ending.refuse(exchange, "too little time remains before the deadline");
             return;
         }
         if (endIfQuarantined(exchange)) {
@@ -255,7 +266,7 @@
         Duration delay = exchange.nextBackoff();
         fairness.onNoRoom(exchange.fairCall);
         if (fairness.isTooLate(exchange.fairCall, delay, timeoutAtMillis - MIN_REMAINING_MILLIS)) {
-            refuse(exchange, "no replica will have room in time");
+            ending.refuse(exchange, "no replica will have room in time");
         } else {
             timers.schedule(delay, () -> dispatch(exchange));
         }
@@ -264,9 +275,9 @@
     /** Lets a call wait for a replica that can run it, or refuses it if it is known that none will be able to. */
     private void waitOrRefuse(Exchange exchange) {
         availabilityCheck
-                .refusal(exchange, DEFAULT_RETRY_AFTER_MILLIS)
+                .refusal(exchange, CallEnding.DEFAULT_RETRY_AFTER_MILLIS)
                 .ifPresentOrElse(
-                        refusal -> refuse(exchange, refusal.reason(), refusal.retryAfterMillis()),
+                        refusal -> ending.refuse(exchange, refusal.reason(), refusal.retryAfterMillis()),
                         () -> startWaiting(exchange));
     }
 
@@ -277,7 +288,7 @@
     void beginShutdown() {
         shuttingDown = true;
         for (WeightKey key : waiting.keys()) {
-            waiting.removeAll(key).forEach(this::refuseForShutdown);
+            waiting.removeAll(key).forEach(ending::refuseForShutdown);
         }
     }
 
@@ -285,25 +296,22 @@
     void endAll() {
         for (Exchange exchange : List.copyOf(calls)) {
             if (!exchange.finished) {
-                refuseForShutdown(exchange);
+                ending.refuseForShutdown(exchange);
             }
         }
     }
 
-    private void refuseForShutdown(Exchange exchange) {
-        refuse(exchange, "this entry is shutting down", LocalResponses.SHUTDOWN_RETRY_AFTER_MILLIS);
-    }
-
     private void startWaiting(Exchange exchange) {
         if (shuttingDown) {
-            refuseForShutdown(exchange);
+            ending.refuseForShutdown(exchange);
             return;
         }
         waiting.add(exchange);
         fairness.onWaitingForLoad(exchange.fairCall);
+        hedges.onShortage(exchange);
         if (!exchange.loadCheckScheduled) {
             exchange.loadCheckScheduled = true;
-            loadExpectation.scheduleChecks(exchange, waiting::contains, reason -> refuse(exchange, reason));
+            loadExpectation.scheduleChecks(exchange, waiting::contains, reason -> ending.refuse(exchange, reason));
         }
         WeightKey key = exchange.weights.orElseThrow();
         LogEvent.CALL_WAITING.logForCall(
@@ -335,10 +343,10 @@
 
     /** Looks for another replica, as nothing of the call was sent to this one. */
     private void onNotSent(Exchange exchange, ReplicaState replica, String reason) {
-        recordFailedAttempt(exchange, Verdict.NOT_RUN, reason);
+        recordFailedAttempt(exchange, replica, Verdict.NOT_RUN, reason);
         exchange.failedReplicas.add(replica.id());
         if (++exchange.rejections > MAX_REJECTIONS) {
-            refuse(exchange, "no replica is reachable");
+            ending.refuse(exchange, "no replica is reachable");
         } else {
             dispatch(exchange);
         }
@@ -382,91 +390,29 @@
     private void start(Exchange exchange, ReplicaState replica, ReplicaProcess process, HttpClientRequest request) {
         if (exchange.reachedReplica && !budgets.tryRetry(exchange.service)) {
             request.connection().close();
-            refuse(exchange, "the retry budget is exhausted");
+            ending.refuse(exchange, "the retry budget is exhausted");
             return;
         }
         exchange.reachedReplica = true;
         new Attempt(context, exchange, replica, process, request).start();
+        hedges.onSent(exchange);
+    }
+
+    private void startAttempt(Exchange exchange, ReplicaState replica, HttpClientRequest request) {
+        new Attempt(context, exchange, replica, catalog.runningProcess(replica), request).start();
     }
 
     /** Ends a call whose request is quarantined and may not run now, and returns whether it has ended. */
     private boolean endIfQuarantined(Exchange exchange) {
         Optional<QuarantineCheck.Refusal> refusal = quarantineCheck.refusal(exchange);
-        refusal.ifPresent(refused -> refuse(exchange, refused.reason(), refused.retryAfterMillis()));
+        refusal.ifPresent(refused -> ending.refuse(exchange, refused.reason(), refused.retryAfterMillis()));
         return refusal.isPresent();
     }
 
-    private void onTimeout(Exchange exchange) {
-        if (exchange.finished) {
-            return;
-        }
-        if (exchange.activeRequest == null && exchange.possibleRuns == 0) {
-            refuse(exchange, "the deadline passed while the call was waiting");
-        } else if (exchange.responseStarted) {
-            abort(exchange, "the deadline passed during the response");
-        } else {
-            fail(exchange, LocalResponses.GATEWAY_TIMEOUT, "no replica responded before the deadline");
-        }
-    }
-
-    private void onCallerDisconnected(Exchange exchange) {
-        if (!exchange.finished) {
-            finish(exchange, 0, "caller-left", "the caller closed its connection");
-        }
-    }
-
-    private void refuse(Exchange exchange, String reason) {
-        // The failure of a call that may have run is no lack of capacity, and it gets no Retry-After.
-        boolean mayHaveRun = exchange.responseStarted || exchange.possibleRuns > 0;
-        refuse(exchange, reason, mayHaveRun ? 0 : fairness.refuse(exchange.fairCall, DEFAULT_RETRY_AFTER_MILLIS));
-    }
-
-    /** Ends a call that is not sent to a replica again, as not run unless an earlier attempt may have run. */
-    private void refuse(Exchange exchange, String reason, long retryAfterMillis) {
-        if (exchange.responseStarted || exchange.possibleRuns > 0) {
-            fail(exchange, LocalResponses.BAD_GATEWAY, reason);
-            return;
-        }
-        localResponses.sendUnavailable(exchange.request, reason, retryAfterMillis);
-        finish(exchange, LocalResponses.UNAVAILABLE, "refused", reason);
-    }
-
-    private void fail(Exchange exchange, int status, String reason) {
-        if (exchange.responseStarted) {
-            abort(exchange, reason);
-            return;
-        }
-        localResponses.sendError(exchange.request, status, reason);
-        finish(exchange, status, "failed", reason);
-    }
-
-    /** Closes the caller's connection, so that the caller does not take a truncated response for a complete one. */
-    private void abort(Exchange exchange, String reason) {
-        finish(exchange, exchange.request.response().getStatusCode(), "broken-off", reason);
-        exchange.request.connection().close();
-    }
-
-    private void finish(Exchange exchange, int status, String outcome, String reason) {
-        exchange.finished = true;
-        calls.remove(exchange);
-        exchange.release();
-        exchange.cancelTimeout.run();
-        callerConnections.onCallEnded(exchange.request.connection());
-        waiting.remove(exchange);
-        HttpClientRequest activeRequest = exchange.activeRequest;
-        exchange.activeRequest = null;
-        if (activeRequest != null) {
-            activeRequest.connection().close();
-        }
-        metrics.recordCall(exchange.route.name(), outcome, clock.millis() - exchange.arrivalMillis);
-        fairness.onEnded(exchange.fairCall, outcome, status == LocalResponses.UNAVAILABLE);
-        LocalResponses.logCallEnded(exchange, clock.millis(), status, outcome, reason);
-    }
-
     @Override
     public void onCompleted(Exchange exchange, int status, String reason) {
         fairness.onServed(exchange.fairCall);
-        finish(exchange, status, "answered", reason);
+        ending.finish(exchange, status, "answered", reason);
     }
 
     @Override
@@ -477,10 +423,22 @@
         scheduleTimeout(exchange, exchange.deadlineMillis);
     }
 
+    @Override
+    public void onResponded(Exchange exchange, ReplicaState replica, long durationMillis) {
+        exchange.replica = replica;
+        hedges.onResponse(exchange, replica, durationMillis);
+    }
+
     @Override
     public void onFailed(Exchange exchange, ReplicaState replica, Verdict verdict, String reason) {
-        recordFailedAttempt(exchange, verdict, reason);
+        recordFailedAttempt(exchange, replica, verdict, reason);
         exchange.failedReplicas.add(replica.id());
+        if (verdict == Verdict.NOT_RUN) {
+            hedges.onShortage(exchange);
+        }
+        if (!exchange.activeRequests.isEmpty()) {
+            return;
+        }
         boolean mayRetry = verdict == Verdict.NOT_RUN
                 ? ++exchange.rejections <= MAX_REJECTIONS
                 : exchange.route.isRetryable()
@@ -489,12 +447,12 @@
         if (mayRetry && budgets.canRetry(exchange.service)) {
             dispatch(exchange);
         } else {
-            refuse(exchange, reason);
+            ending.refuse(exchange, reason);
         }
     }
 
-    private void recordFailedAttempt(Exchange exchange, Verdict verdict, String reason) {
+    private void recordFailedAttempt(Exchange exchange, ReplicaState replica, Verdict verdict, String reason) {
         metrics.countFailedAttempt(verdict.text());
-        LocalResponses.logAttemptFailed(exchange, verdict, reason);
+        LocalResponses.logAttemptFailed(exchange, replica, verdict, reason);
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LocalResponses.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/LocalResponses.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import org.tarragonring.errors.Verdict;
 import org.tarragonring.log.LogEvent;
+import org.tarragonring.policy.replica.ReplicaState;
 
 /** Writes the HTTP responses that this entry generates itself instead of forwarding them from a replica. */
 final class LocalResponses {
@@ -84,16 +85,11 @@
     }
 
     /** Logs that a replica did not run a call, or failed while running it. */
-    static void logAttemptFailed(Exchange exchange, Verdict verdict, String reason) {
+    static void logAttemptFailed(Exchange exchange, ReplicaState replica, Verdict verdict, String reason) {
         String request =
                 verdict == Verdict.NOT_RUN ? "not run" : exchange.fingerprint().value();
         LogEvent.ATTEMPT_FAILED.logForCall(
-                exchange.head.id(),
-                exchange.replica.id(),
-                request,
-                exchange.head.sharedPromptParts(),
-                verdict.text(),
-                reason);
+                exchange.head.id(), replica.id(), request, exchange.head.sharedPromptParts(), verdict.text(), reason);
     }
 
     /** Logs the status, outcome and duration of a call that has ended. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaSelector.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaSelector.java
@@ -51,6 +51,28 @@
         return new Selection(picked, unrecorded, !eligible.isEmpty());
     }
 
+    /**
+     * Selects a second replica for a call that another replica still works on: one of another failure domain if possible,
+     * which does not load a model meanwhile.
+     *
+     * @return the replica, empty if no other one can run the call at once
+     */
+    Optional<ReplicaState> selectSecond(Exchange exchange) {
+        List<ReplicaState> able = exchange.weights.isPresent()
+                ? catalog.ableToRun(exchange.weights.get())
+                : catalog.usable(exchange.service);
+        List<ReplicaState> others = able.stream()
+                .filter(replica -> !replica.id().equals(exchange.replica.id()))
+                .filter(replica -> !exchange.failedReplicas.contains(replica.id()))
+                .filter(replica -> replica.loading().isEmpty() && mayRun(exchange, replica))
+                .toList();
+        String firstDomain = exchange.replica.listed().failureDomain();
+        List<ReplicaState> elsewhere = others.stream()
+                .filter(replica -> !replica.listed().failureDomain().equals(firstDomain))
+                .toList();
+        return routing.pick(elsewhere.isEmpty() ? others : elsewhere, exchange.profile());
+    }
+
     /** Returns whether a call may be sent to the replica that was selected for it, which may have changed since then. */
     boolean mayRun(Exchange exchange, ReplicaState replica) {
         return catalog.isUsable(replica)
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/metrics/GatewayMetrics.java
@@ -108,6 +108,24 @@
                 .increment(tokens);
     }
 
+    /**
+     * Counts a second attempt of a slow call.
+     *
+     * @param outcome {@code sent}, {@code won} if its response came first, or {@code lost}; not null
+     */
+    public void countHedge(String outcome) {
+        registry.counter("tarragonring.hedges", "outcome", outcome).increment();
+    }
+
+    /**
+     * Counts a slow call that got no second attempt.
+     *
+     * @param reason why, not null
+     */
+    public void countSuppressedHedge(String reason) {
+        registry.counter("tarragonring.hedges.suppressed", "reason", reason).increment();
+    }
+
     /** Counts a call that ended because its request is quarantined. */
     public void countQuarantined() {
         registry.counter("tarragonring.calls.quarantined").increment();
