--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaSettings.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaSettings.java
@@ -26,7 +26,7 @@
      * The part of the overage and of the slack that teams may use. Entries cannot know the window in which a platform counts,
      * so that a team just within its limit would be refused without it; the rest covers partitions and messages on their way.
      */
-    private static final double TOLERANCE_PART = 0.5;
+    private static final double TOLERANCE_PART = 0.25;
 
     /** The part of the slack that one bucket may owe; two buckets may, on both sides of a partition. */
     private static final double DEBT_PART = 0.25;
