--- a/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/peer/PeerMessage.java
@@ -133,7 +133,7 @@
      *
      * @param replica the replica, not null
      * @param samples the number of calls
-     * @param ratio the mean duration, as a multiple of the one expected of a replica of speed 1 with the same load
+     * @param ratio the mean duration, as a multiple of what is usual at the sender, whatever the load of the replica
      */
     record ReplicaTiming(UpstreamId replica, int samples, double ratio) {}
 
--- a/tarragonring-core/src/main/thrift/peer.thrift
+++ b/tarragonring-core/src/main/thrift/peer.thrift
@@ -78,7 +78,7 @@
   7: required i64 slackMillis
 }
 
-/** How long calls took at a replica, as a multiple of what they would take at a replica of speed 1 with that load. */
+/** How long calls took at a replica, as a multiple of what is usual at the sender, whatever the load of the replica. */
 struct WireReplicaTiming {
   1: required string replica
   2: required i32 samples
