Review: case 8, answers cut at a planned stop before the grace is over

Cause: a call counts as ended once its response is queued for the caller, so that the drain ends and the server closes connections that still hold a part of a response.

--- a/review/harness-2/SlowReaderCase.java
+++ b/review/harness-2/SlowReaderCase.java
@@ -15,7 +15,7 @@
  */
 final class SlowReaderCase {
 
-    private static final int BODY_BYTES = 900_000;
+    private static final int BODY_BYTES = 1_000_000;
     private static final int BYTES_PER_SECOND = 180_000;
     private static final int RECEIVE_BUFFER_BYTES = 16_384;
     private static final long WORK_MILLIS = 100;
