Review: case 9, streams of two versions that cannot be taken up after a kill of all entries

Cause: the version that began a stream is kept in memory at three entries only; when all are killed and two versions serve, each take-up is refused.

--- a/review/harness-2/RunCase.java
+++ b/review/harness-2/RunCase.java
@@ -21,6 +21,7 @@
             Case selected = switch (args[0]) {
                 case "mixed-versions" -> MixedVersionsCase::run;
                 case "leaving" -> LeavingCase::run;
+                case "taken-up" -> TakenUpCase::run;
                 case "slow-reader" -> SlowReaderCase::run;
                 default -> throw new IllegalArgumentException("unknown case " + args[0]);
             };
