Review: case 10, an entry that hangs while callers read slowly

Cause: the memory of a buffered response is given back when the response is queued for the caller; callers that read slowly fill the direct memory, and the event loop waits at each further allocation.

--- a/review/harness-2/RunCase.java
+++ b/review/harness-2/RunCase.java
@@ -22,6 +22,7 @@
                 case "mixed-versions" -> MixedVersionsCase::run;
                 case "leaving" -> LeavingCase::run;
                 case "taken-up" -> TakenUpCase::run;
+                case "held-answers" -> HeldAnswersCase::run;
                 case "slow-reader" -> SlowReaderCase::run;
                 default -> throw new IllegalArgumentException("unknown case " + args[0]);
             };
