Review: case 9 with a rolling restart, in place of a kill of all entries

Cause: the version that began a stream is told to two other entries once, and to nobody when one of the three stops; entries that leave are not asked any more.

--- a/review/harness-2/RunCase.java
+++ b/review/harness-2/RunCase.java
@@ -23,6 +23,7 @@
                 case "leaving" -> LeavingCase::run;
                 case "taken-up" -> TakenUpCase::run;
                 case "held-answers" -> HeldAnswersCase::run;
+                case "roll" -> RollCase::run;
                 case "slow-reader" -> SlowReaderCase::run;
                 default -> throw new IllegalArgumentException("unknown case " + args[0]);
             };
