Do not take the record of an older copy of the store for complete

Cause: an entry that starts after the restore has no response from before, so it sees no rise of the store's era. It read the record and the list of the copy, both of which named v1 only, and took v1 for the only version that could have begun a stream. The log of a restarted entry shows i-1 and i-2 registered at 15.13 s and i-3 of v2 at 16.17 s, and v2 recorded 30 ms later; the streams were joined in between. Related, found on the way: an entry that lived through the restore made the same guess until the record was written again, versions lost in one restore were forgotten in a second one, and a service whose replicas were not listed when an incomplete record was written counted as complete.

Change: the record holds the era in which it was written, and whether it is complete. One of an earlier era is not complete to an entry that has started since; entries that knew it write it again as complete within 0.7 s, and only if there is none it is written as incomplete after 1.5 s. Then streams that no entry knows are refused until none can run that began before.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -134,7 +134,8 @@
             Logger.Level.WARN,
             "load of model %s on replica %s did not start within %s ms, planning loads on other replicas"),
     /** The software versions of the replicas were recorded in the store. */
-    SERVING_VERSIONS_RECORDED(424, Logger.Level.INFO, "recorded the software versions that may have begun streams: %s"),
+    SERVING_VERSIONS_RECORDED(
+            424, Logger.Level.INFO, "recorded the software versions that may have begun streams: %s, complete=%s"),
     /** A report of the demand for models was truncated. */
     DEMAND_TRUNCATED(
             425, Logger.Level.WARN, "the planning entry is told of the %s most urgent of %s demands for models"),
@@ -160,6 +161,11 @@
             431, Logger.Level.WARN, "discarded the response to %s \"%s\", of era %s of the store, the newest is %s"),
     /** A record was written again, as the store came back from a copy without it. */
     RECORD_WRITTEN_AGAIN(432, Logger.Level.INFO, "wrote %s again in era %s of the store"),
+    /** The record that was read is that of an older copy, and this entry does not know what was recorded since. */
+    RECORD_OF_OLDER_COPY(
+            436,
+            Logger.Level.WARN,
+            "%s was written in era %s of the store, which is in era %s now: it is not known what was recorded since"),
     /** A further local checkpoint of a model is fetched, in case a replica or a failure domain is lost. */
     CHECKPOINT_SPREAD(
             429,
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -13,14 +13,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import io.smallrye.mutiny.Uni;
 import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.objects.ObjectStore;
-import org.tarragonring.objects.StoreException;
 import org.tarragonring.policy.replica.ListedReplica;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.time.MonotonicClock;
@@ -32,8 +30,9 @@
  * started again know no stream, but if a single version is recorded, it has begun all of them.
  *
  * <p>A version is recorded before an entry begins a stream at it. If the record is missing although entries have served
- * before, or cannot be read, the new one says for each service that an unknown version may have begun streams, until none
- * of them can run any more.
+ * before, or cannot be read, the new one says that it is not complete, until no stream can run any more that began before.
+ * So it does if the store has come back from an older copy and no entry knows what was recorded since that copy was made;
+ * the record tells the era of the store in which it was written.
  *
  * <p>The record contains no times, as the clocks of entries differ: the entry that is responsible for it removes a version
  * when it has itself not seen the version for long enough. The record is read when an entry starts and when a caller
@@ -63,19 +62,19 @@
     /** How often the store is asked before callers are told that something is not known. */
     static final int READ_ATTEMPTS = 3;
 
-    /** The time between two attempts, so that a store that rejects requests at once is not asked three times at once. */
-    static final Duration READ_RETRY_DELAY = Duration.ofMillis(300);
-
     /** How often a write is tried that is overtaken by one of another entry, or whose response is lost. */
     private static final int WRITE_ATTEMPTS = 3;
 
     /** How long the responsible entry has to record lost versions again before all others do. */
     private static final Duration REWRITE_DELAY_OF_OTHERS = Duration.ofMillis(700);
 
+    /** How long an entry that finds the record of an older copy waits for the entries that know what is lost. */
+    static final Duration REWRITE_DELAY_WITHOUT_KNOWLEDGE = Duration.ofMillis(1_500);
+
     private final ObjectStore store;
     private final ReplicaCatalog catalog;
     private final CurrentReplicas currentReplicas;
-    private final String traceOfServing;
+    private final StoredVersionRecord storedRecord;
     private final BooleanSupplier responsible;
     private final Supplier<Optional<Duration>> longestStream;
     private final MonotonicClock clock;
@@ -91,7 +90,15 @@
     /** What was recorded before the store came back from an older copy, until it is recorded again. */
     private Map<ServiceName, Set<SoftwareVersion>> lost = Map.of();
 
-    private Optional<CompletableFuture<Optional<RecordedVersions>>> pendingRead = Optional.empty();
+    /** Whether this entry knew all recorded versions when the newest era of the store began. */
+    private boolean knowsLost;
+
+    /** When this entry first read the record of an older copy without knowing what is lost; empty if it has not. */
+    private Optional<Long> olderCopyReadMillis = Optional.empty();
+
+    /** When this entry first read that the record is not complete; empty if it is complete. */
+    private Optional<Long> incompleteReadMillis = Optional.empty();
+
     private Optional<CompletableFuture<Void>> pendingUpdate = Optional.empty();
 
     /** The recorded versions of which a replica has been listed since; the responsible entry does not remove them. */
@@ -130,7 +137,7 @@
         this.store = Objects.requireNonNull(store, "store");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
         this.currentReplicas = Objects.requireNonNull(currentReplicas, "currentReplicas");
-        this.traceOfServing = Objects.requireNonNull(traceOfServing, "traceOfServing");
+        this.storedRecord = new StoredVersionRecord(store, traceOfServing, timers);
         this.responsible = Objects.requireNonNull(responsible, "responsible");
         this.longestStream = Objects.requireNonNull(longestStream, "longestStream");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -154,6 +161,7 @@
     /** Stops writing the record. */
     public void stop() {
         stopped = true;
+        storedRecord.stop();
         checks.cancel();
     }
 
@@ -195,15 +203,17 @@
     public CompletableFuture<Optional<SoftwareVersion>> onlyVersion(ServiceName service) {
         return listedVersions(service)
                 .thenCombine(
-                        retry(this::read, READ_ATTEMPTS),
+                        storedRecord.retry(this::read, READ_ATTEMPTS),
                         (listed, record) ->
                                 listed.isPresent() ? onlyVersion(record, service, listed.get()) : Optional.empty());
     }
 
-    private static Optional<SoftwareVersion> onlyVersion(
+    private Optional<SoftwareVersion> onlyVersion(
             Optional<RecordedVersions> record, ServiceName service, Set<SoftwareVersion> listed) {
-        Set<SoftwareVersion> versions =
-                new TreeSet<>(record.map(known -> known.of(service)).orElse(Set.of()));
+        Set<SoftwareVersion> versions = new TreeSet<>(record.filter(RecordedVersions::isComplete)
+                .filter(known -> known.era().equals(store.era()))
+                .map(known -> known.of(service))
+                .orElse(Set.of()));
         boolean isKnown = !versions.isEmpty();
         versions.addAll(listed);
         return isKnown && versions.size() == 1 && !versions.contains(UNKNOWN)
@@ -217,7 +227,8 @@
             return CompletableFuture.completedFuture(
                     Optional.of(listedVersions().getOrDefault(service, Set.of())));
         }
-        return retry(currentReplicas::read, READ_ATTEMPTS)
+        return storedRecord
+                .retry(currentReplicas::read, READ_ATTEMPTS)
                 .thenApply(replicas ->
                         replicas.map(listed -> versionsByService(listed).getOrDefault(service, Set.of())));
     }
@@ -241,7 +252,7 @@
             if (recorded.isPresent()) {
                 started.complete(null);
             } else if (!stopped) {
-                timers.schedule(READ_RETRY_DELAY, this::readAtStart);
+                timers.schedule(StoredVersionRecord.READ_RETRY_DELAY, this::readAtStart);
             }
         });
     }
@@ -259,9 +270,10 @@
         if (hasTakenOver) {
             // a version may have returned and left since it was read of first
             firstReadMillis.replaceAll((version, readMillis) -> clock.millis());
+            incompleteReadMillis = incompleteReadMillis.map(readMillis -> clock.millis());
         }
         RecordedVersions known = recorded.orElseThrow();
-        if (hasTakenOver || isResponsible && !isUpToDate(known, wantedVersions(known))) {
+        if (hasTakenOver || isResponsible && !isUpToDate(known, wanted(known))) {
             update();
         } else if (isSettled && !confirmed.containsAll(listed)) {
             // the store may not respond when the first stream begins
@@ -289,8 +301,9 @@
      */
     private void onStoreRestored() {
         confirmed.clear();
+        knowsLost = recorded.map(RecordedVersions::isComplete).orElse(false);
         long goneMillis = goneMillis();
-        lost = new HashMap<>();
+        lost = new HashMap<>(lost);
         recorded.map(RecordedVersions::versions)
                 .orElse(Map.of())
                 .forEach((service, versions) -> versions.stream()
@@ -301,8 +314,8 @@
         }
     }
 
-    private static boolean isUpToDate(RecordedVersions record, Map<ServiceName, Set<SoftwareVersion>> wanted) {
-        return wanted.equals(record.versions()) && !(record.isAbsent() && record.isComplete());
+    private static boolean isUpToDate(RecordedVersions record, RecordedVersions wanted) {
+        return wanted.hasContentOf(record) && !(record.isAbsent() && record.isComplete());
     }
 
     /** Reads the record and writes it if it is not up to date; requests that overlap share one update. Never fails. */
@@ -322,40 +335,58 @@
         if (stopped) {
             return CompletableFuture.completedFuture(null);
         }
-        return retry(this::read, READ_ATTEMPTS).thenCompose(record -> {
+        return storedRecord.retry(this::read, READ_ATTEMPTS).thenCompose(record -> {
             if (record.isEmpty() || stopped) {
                 return CompletableFuture.completedFuture(null);
             }
-            Map<ServiceName, Set<SoftwareVersion>> wanted = wantedVersions(record.get());
+            Optional<Duration> delay = delayWithoutKnowledge(record.get());
+            if (delay.isPresent()) {
+                return storedRecord.after(delay.get()).thenCompose(done -> update(attemptsLeft));
+            }
+            RecordedVersions wanted = wanted(record.get());
             if (isUpToDate(record.get(), wanted)) {
                 lost = Map.of();
                 return CompletableFuture.completedFuture(null);
             }
-            return write(record.get().objectVersion(), wanted)
+            return write(wanted)
                     .thenCompose(isWritten -> isWritten || attemptsLeft == 1
                             ? CompletableFuture.completedFuture(null)
                             : update(attemptsLeft - 1));
         });
     }
 
+    /** Returns how long to wait until the record of an older copy is replaced without knowing what is lost. */
+    private Optional<Duration> delayWithoutKnowledge(RecordedVersions record) {
+        if (record.isComplete() || record.era().equals(store.era())) {
+            olderCopyReadMillis = Optional.empty();
+            return Optional.empty();
+        }
+        if (olderCopyReadMillis.isEmpty()) {
+            LogEvent.RECORD_OF_OLDER_COPY.log(KEY, record.era(), store.era());
+            olderCopyReadMillis = Optional.of(clock.millis());
+        }
+        Duration delay = REWRITE_DELAY_WITHOUT_KNOWLEDGE.minusMillis(clock.millis() - olderCopyReadMillis.get());
+        return Optional.of(delay).filter(left -> left.compareTo(Duration.ZERO) > 0);
+    }
+
     /** Returns what is to be recorded: the versions that this entry has seen or read of, unless they left long ago. */
-    private Map<ServiceName, Set<SoftwareVersion>> wantedVersions(RecordedVersions record) {
+    private RecordedVersions wanted(RecordedVersions record) {
         long goneMillis = goneMillis();
         Map<ServiceName, Set<SoftwareVersion>> wanted = listedVersions();
         catalog.versionsListedSince(goneMillis)
                 .forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
-        if (!record.isComplete()) {
-            wanted.forEach((service, versions) -> versions.add(UNKNOWN));
-        }
         lost.forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
+        boolean mayRemoveNow = mayRemove && catalog.isListCurrent();
         record.versions()
                 .forEach((service, versions) -> versions.forEach(version -> {
-                    boolean mayHaveLeft = mayRemove && catalog.isListCurrent();
-                    if (!mayHaveLeft || firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis) {
+                    if (!mayRemoveNow || firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis) {
                         add(wanted, service, version);
                     }
                 }));
-        return wanted;
+        boolean isOver = mayRemoveNow
+                && record.era().equals(store.era())
+                && incompleteReadMillis.filter(since -> since <= goneMillis).isPresent();
+        return new RecordedVersions(record.objectVersion(), wanted, record.isComplete() || isOver, store.era());
     }
 
     /** Returns the time before which a version must have been seen last so that no stream of it runs any more. */
@@ -371,87 +402,48 @@
         versions.computeIfAbsent(service, name -> new TreeSet<>()).add(version);
     }
 
-    /**
-     * Writes the record. Never fails.
-     *
-     * @return false if another entry has written it meanwhile, or the store does not confirm that it is written
-     */
-    private CompletableFuture<Boolean> write(long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions) {
-        CompletableFuture<Boolean> isWritten = new CompletableFuture<>();
-        store.write(KEY, objectVersion, RecordedVersions.encode(versions))
-                .subscribe()
-                .with(
-                        newVersion -> {
-                            know(new RecordedVersions(newVersion, versions, true));
-                            if (!lost.isEmpty()) {
-                                lost = Map.of();
-                                LogEvent.RECORD_WRITTEN_AGAIN.log(KEY, store.era());
-                            }
-                            LogEvent.SERVING_VERSIONS_RECORDED.log(versions);
-                            isWritten.complete(true);
-                        },
-                        failure -> {
-                            if (!isConflict(failure)) {
-                                LogEvent.DEPENDENCY_STATE.log(
-                                        "store", false, "versions not recorded: " + failure.getMessage());
-                            }
-                            isWritten.complete(false);
-                        });
-        return isWritten;
-    }
-
-    /** Returns whether another entry has written the record first, as happens when several start at the same time. */
-    private static boolean isConflict(Throwable failure) {
-        return failure instanceof StoreException e && e.kind() == StoreException.Kind.CONFLICT;
-    }
-
-    private <T> CompletableFuture<Optional<T>> retry(
-            Supplier<CompletableFuture<Optional<T>>> request, int attemptsLeft) {
-        return request.get().thenCompose(response -> {
-            if (response.isPresent() || attemptsLeft == 1 || stopped) {
-                return CompletableFuture.completedFuture(response);
-            }
-            CompletableFuture<Void> delay = new CompletableFuture<>();
-            timers.schedule(READ_RETRY_DELAY, () -> delay.complete(null));
-            return delay.thenCompose(
-                    done -> stopped ? CompletableFuture.completedFuture(response) : retry(request, attemptsLeft - 1));
+    /** Reads the record; empty if the store does not respond. */
+    private CompletableFuture<Optional<RecordedVersions>> read() {
+        boolean isFirstRead = recorded.isEmpty() && !stopped;
+        return storedRecord.read(isFirstRead).thenApply(stored -> {
+            Optional<RecordedVersions> record = stored.map(this::assess);
+            record.ifPresent(this::know);
+            return record;
         });
     }
 
-    /** Reads the record; requests that overlap share one call to the store. Empty if the store does not respond. */
-    private CompletableFuture<Optional<RecordedVersions>> read() {
-        return pendingRead.orElseGet(() -> {
-            CompletableFuture<Optional<RecordedVersions>> response = new CompletableFuture<>();
-            pendingRead = Optional.of(response);
-            store.read(KEY)
-                    .flatMap(object -> object.isPresent()
-                            ? Uni.createFrom().item(RecordedVersions.decode(object.get()))
-                            : readTraceOfServing())
-                    .subscribe()
-                    .with(record -> onRead(response, Optional.of(record)), failure -> {
-                        LogEvent.DEPENDENCY_STATE.log("store", false, "versions not read: " + failure.getMessage());
-                        onRead(response, Optional.empty());
-                    });
-            return response;
+    private CompletableFuture<Boolean> write(RecordedVersions wanted) {
+        return storedRecord.write(wanted).thenApply(newVersion -> {
+            newVersion.ifPresent(version -> onWritten(wanted.withObjectVersion(version)));
+            return newVersion.isPresent();
         });
     }
 
-    /** Finds out whether the record is missing because nothing has been served yet. */
-    private Uni<RecordedVersions> readTraceOfServing() {
-        if (recorded.isPresent() || stopped) {
-            boolean isRebuilt = !lost.isEmpty();
-            boolean hasNeverServed = recorded.filter(RecordedVersions::isAbsent)
-                    .map(RecordedVersions::isComplete)
-                    .orElse(false);
-            return Uni.createFrom().item(RecordedVersions.absent(hasNeverServed || isRebuilt));
+    private void onWritten(RecordedVersions record) {
+        know(record);
+        knowsLost = false;
+        if (!lost.isEmpty()) {
+            lost = Map.of();
+            LogEvent.RECORD_WRITTEN_AGAIN.log(KEY, store.era());
         }
-        return store.list(traceOfServing).map(traces -> RecordedVersions.absent(traces.isEmpty()));
+        LogEvent.SERVING_VERSIONS_RECORDED.log(record.versions(), record.isComplete());
     }
 
-    private void onRead(CompletableFuture<Optional<RecordedVersions>> response, Optional<RecordedVersions> record) {
-        pendingRead = Optional.empty();
-        record.ifPresent(this::know);
-        response.complete(record);
+    /**
+     * Decides whether a stored record is complete. The record of an older copy is not, and one that is missing while this
+     * entry runs has been deleted, unless this entry knows what was recorded when the newest era of the store began.
+     */
+    private RecordedVersions assess(RecordedVersions stored) {
+        if (stored.isAbsent()) {
+            boolean hasNeverServed = recorded.map(known -> known.isAbsent() && known.isComplete())
+                    .orElse(stored.isComplete());
+            return stored.withComplete(hasNeverServed || knowsLost);
+        }
+        if (stored.isComplete() && stored.era().equals(store.era())) {
+            knowsLost = false;
+            return stored;
+        }
+        return stored.withComplete(knowsLost);
     }
 
     private void know(RecordedVersions record) {
@@ -460,6 +452,8 @@
         known.forEach(version -> firstReadMillis.putIfAbsent(version, clock.millis()));
         confirmed.clear();
         confirmed.addAll(known);
+        incompleteReadMillis =
+                record.isComplete() ? Optional.empty() : incompleteReadMillis.or(() -> Optional.of(clock.millis()));
         recorded = Optional.of(record);
     }
 
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -1,25 +1,12 @@
 package org.tarragonring.gateway.streams;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.Test;
-import org.tarragonring.gateway.ManualTime;
-import org.tarragonring.gateway.MemoryStore;
-import org.tarragonring.gateway.catalog.CurrentReplicas;
-import org.tarragonring.gateway.catalog.ReplicaCatalog;
-import org.tarragonring.ids.HostPort;
-import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.ids.UpstreamId;
-import org.tarragonring.objects.StoredObject;
-import org.tarragonring.policy.replica.ListedReplica;
-import org.tarragonring.policy.replica.ListedReplica.Holdings;
-import org.tarragonring.routing.Ejections;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -29,27 +16,11 @@
  * After all entries have started again, none knows which version of the replicas' software began a stream. A guess may
  * join what two versions write, and a refusal strands the streams of a service that has one version only.
  */
-class ServingVersionsTest {
-
-    private static final ServiceName SERVICE = new ServiceName("llm");
-    private static final Duration LONGEST_STREAM = Duration.ofSeconds(16);
-    private static final Duration CHECKED =
-            ServingVersions.SETTLE_TIME.plus(ServingVersions.CHECK_PERIOD.multipliedBy(3));
-    private static final String TRACES = "leases/";
+class ServingVersionsTest extends ServingVersionsFixture {
 
     /** The number of writes that create the record when the first entry of a deployment starts. */
     private static final int CREATION = 1;
 
-    private static final Optional<SoftwareVersion> V1 = Optional.of(new SoftwareVersion("v1"));
-    private static final Optional<SoftwareVersion> V2 = Optional.of(new SoftwareVersion("v2"));
-
-    private final ManualTime time = new ManualTime();
-    private final MemoryStore store = new MemoryStore();
-    private boolean responsible = true;
-    private boolean listCurrent = true;
-    private Optional<Duration> longestStream = Optional.of(LONGEST_STREAM);
-    private Entry entry = new Entry();
-
     @Test
     void onlyVersionIsKnownAfterARestartAlsoIfAReplicaIsYoung() {
         entry.list("old-1", "v1");
@@ -102,7 +73,7 @@
 
         store.failReads(ServingVersions.READ_ATTEMPTS - 1);
         CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
-        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+        time.advance(StoredVersionRecord.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
 
         assertEquals(V1, version.getNow(Optional.empty()));
     }
@@ -116,7 +87,7 @@
 
         store.failReads(ServingVersions.READ_ATTEMPTS);
         CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
-        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+        time.advance(StoredVersionRecord.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
 
         assertEquals(Optional.empty(), version.getNow(V2));
     }
@@ -240,7 +211,7 @@
         store.failReads(ServingVersions.READ_ATTEMPTS);
 
         CompletableFuture<Boolean> recorded = entry.versions.record(SERVICE, V1.orElseThrow());
-        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+        time.advance(StoredVersionRecord.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
 
         assertFalse(recorded.getNow(true));
         assertTrue(entry.versions.record(SERVICE, V1.orElseThrow()).join());
@@ -336,7 +307,7 @@
 
         store.failLists(ServingVersions.READ_ATTEMPTS - 1);
         CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
-        time.advance(ServingVersions.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
+        time.advance(StoredVersionRecord.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
 
         assertEquals(V1, version.getNow(Optional.empty()));
     }
@@ -348,7 +319,7 @@
         restart();
         assertFalse(entry.versions.isRead());
 
-        time.advance(ServingVersions.READ_RETRY_DELAY);
+        time.advance(StoredVersionRecord.READ_RETRY_DELAY);
 
         assertTrue(entry.versions.isRead());
     }
@@ -376,86 +347,4 @@
 
         assertEquals(CREATION, store.writeCount());
     }
-
-    // Guards against a stream that is joined from two versions, as the store has lost the record of the one that left.
-    @Test
-    void versionThatTheStoreHasLostIsRecordedAgain() {
-        entry.list("new-1", "v2");
-        time.advance(CHECKED);
-        store.copy();
-        entry.list("old-1", "v1");
-        time.advance(CHECKED);
-        entry.catalog.remove(new UpstreamId("old-1"));
-
-        store.restoreCopy();
-        assertFalse(entry.versions.isRecorded(SERVICE, V2.get()), "recorded in the era before");
-        time.advance(ServingVersions.CHECK_PERIOD);
-        restart();
-        entry.list("new-1", "v2");
-
-        assertEquals(Optional.empty(), entry.onlyVersion());
-    }
-
-    // Guards against a record that is absent after a restore, and makes streams of one version be refused.
-    @Test
-    void recordThatTheStoreHasLostAsAWholeIsRebuilt() {
-        store.delete(ServingVersions.KEY, 0).await().indefinitely();
-        store.copy();
-        restart();
-        entry.list("new-1", "v2");
-        time.advance(CHECKED);
-
-        store.restoreCopy();
-        time.advance(ServingVersions.CHECK_PERIOD);
-
-        assertEquals(V2, entry.onlyVersion());
-    }
-
-    private void restart() {
-        entry.versions.stop();
-        entry = new Entry();
-    }
-
-    private static ListedReplica decode(StoredObject object) {
-        return replica(object.key().substring("servers/".length()), new String(object.value(), StandardCharsets.UTF_8));
-    }
-
-    private static ListedReplica replica(String id, String version) {
-        return new ListedReplica(
-                new UpstreamId(id),
-                SERVICE,
-                new HostPort("10.0.0.1", 8_000),
-                "domain-a",
-                new SoftwareVersion(version),
-                64,
-                false,
-                new Holdings(1, Holdings.UNKNOWN_ORDER_COUNT, Map.of(), Set.of(), Set.of()));
-    }
-
-    private final class Entry {
-
-        private final ReplicaCatalog catalog = new ReplicaCatalog(time, new Ejections(time));
-        private final ServingVersions versions = new ServingVersions(
-                store,
-                catalog,
-                new CurrentReplicas(store, "servers/", object -> Optional.of(decode(object))),
-                TRACES,
-                () -> responsible,
-                () -> longestStream,
-                time,
-                time);
-
-        private Entry() {
-            catalog.setListCurrent(() -> listCurrent);
-            versions.start();
-        }
-
-        private void list(String id, String version) {
-            catalog.put(replica(id, version));
-        }
-
-        private Optional<SoftwareVersion> onlyVersion() {
-            return versions.onlyVersion(SERVICE).join();
-        }
-    }
 }
