Remember that a replica leaves when its registration is removed

Cause: the announcement was kept in the state of the registered replica and dropped with the registration; the older copy's registration made a new state that takes calls. The log of an entry shows the announcement, the removal, the rise of the era and the registration of the same process in this order, and the next announcement only with the response to a new call. By the same cause a pause that the replica had asked for was forgotten, announcements were ignored while the replica was not listed, a removal was forgotten, and the registration of an earlier process replaced the address of a later one.

After a restore a replica that was removed before gets no calls for 6 s, by when the store has removed a registration that nobody writes, and registrations of earlier processes are ignored for as long.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -175,6 +175,7 @@
 
     private void connect(String configPrefix) {
         catalog.setListCurrent(replicaWatcher::isCurrent);
+        store.addEraListener(era -> catalog.onStoreRestored());
         keyedCalls.follow(
                 configWatcher, () -> store.list(configPrefix).invoke(objects -> objects.forEach(this::onConfig)));
         List.of(configWatcher, replicaWatcher).forEach(watcher -> watcher.onUnreachable(quarantine::renewWatch));
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/catalog/ReplicaCatalog.java
@@ -23,6 +23,7 @@
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.peer.PeerMessage;
 import org.tarragonring.policy.replica.ListedReplica;
+import org.tarragonring.policy.replica.ReplicaAvailability;
 import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
 import org.tarragonring.routing.Ejections;
@@ -38,9 +39,16 @@
  */
 public final class ReplicaCatalog {
 
+    /**
+     * The time after which the store has removed the registration of a replica that no longer writes it, with a margin for
+     * the requests by which this entry learns of it.
+     */
+    static final long EXPIRY_MILLIS = 6_000;
+
     private final MonotonicClock clock;
     private final Ejections ejections;
     private final Map<UpstreamId, ReplicaState> replicas = new HashMap<>();
+    private final DepartedReplicas departed;
     private final List<Runnable> listeners = new ArrayList<>();
     private final List<BiConsumer<UpstreamId, String>> failureListeners = new ArrayList<>();
 
@@ -50,6 +58,9 @@
     /** When a replica was last added. */
     private long addedMillis;
 
+    /** When the store last came back from an older copy; before the start if it has not since. */
+    private long restoredMillis;
+
     private BooleanSupplier listCurrent = () -> true;
     private Predicate<UpstreamId> leaseHeldByThisEntry = id -> false;
 
@@ -62,6 +73,13 @@
     public ReplicaCatalog(MonotonicClock clock, Ejections ejections) {
         this.clock = Objects.requireNonNull(clock, "clock");
         this.ejections = Objects.requireNonNull(ejections, "ejections");
+        this.departed = new DepartedReplicas(clock);
+        this.restoredMillis = clock.millis() - EXPIRY_MILLIS;
+    }
+
+    /** Records that the store has come back from an older copy, which may list replicas that were removed since. */
+    public void onStoreRestored() {
+        restoredMillis = clock.millis();
     }
 
     /**
@@ -148,11 +166,15 @@
     }
 
     /**
-     * Adds a replica, or updates a known one, from its registration in the replica list.
+     * Adds a replica, or updates a known one, from its registration in the replica list. After a restore of the
+     * store, ignores the registration of a process that another one of the replica has replaced.
      *
      * @param listed the registration, not null
      */
     public void put(ListedReplica listed) {
+        if (millisOfOlderCopy() > 0 && isOfEarlierProcess(listed)) {
+            return;
+        }
         onVersionSeen(listed);
         ReplicaState known = replicas.get(listed.id());
         if (known != null) {
@@ -160,7 +182,7 @@
         }
         boolean changed = true;
         if (known == null) {
-            ReplicaState added = new ReplicaState(listed, clock);
+            ReplicaState added = new ReplicaState(listed, availabilityOf(listed), clock);
             addedMillis = clock.millis();
             replicas.put(listed.id(), added);
             if (added.availability().isLeaving()) {
@@ -195,6 +217,38 @@
         }
     }
 
+    private boolean isOfEarlierProcess(ListedReplica listed) {
+        long startMillis = listed.holdings().processStartMillis();
+        ReplicaState known = replicas.get(listed.id());
+        return known == null
+                ? departed.find(listed.id())
+                        .filter(replica -> replica.availability().isNewerThan(startMillis))
+                        .isPresent()
+                : startMillis < known.listed().holdings().processStartMillis();
+    }
+
+    /**
+     * Returns what is known of the availability of a replica that is added to the list. One whose registration was removed
+     * before the store came back from an older copy gets no calls until the store would have removed it again.
+     */
+    private ReplicaAvailability availabilityOf(ListedReplica listed) {
+        Optional<DepartedReplicas.Departed> known = departed.remove(listed.id());
+        if (known.isEmpty()) {
+            return new ReplicaAvailability(clock);
+        }
+        ReplicaAvailability availability = known.get().availability();
+        long startMillis = listed.holdings().processStartMillis();
+        if (availability.isOfProcess(startMillis) && known.get().removedMillis() < restoredMillis) {
+            availability.pauseFor(Duration.ofMillis(millisOfOlderCopy()));
+        }
+        return availability;
+    }
+
+    /** Returns for how long the list may still contain registrations that were removed or replaced before a restore. */
+    private long millisOfOlderCopy() {
+        return Math.max(0, restoredMillis + EXPIRY_MILLIS - clock.millis());
+    }
+
     /**
      * Removes a replica. Does nothing if it is unknown.
      *
@@ -204,6 +258,7 @@
         ReplicaState removed = replicas.remove(id);
         if (removed != null) {
             onVersionSeen(removed.listed());
+            departed.add(id, removed.availability());
             LogEvent.REPLICA_REMOVED.log(id);
             if (!removed.availability().isLeaving()) {
                 notifyFailureListeners(id, "its registration was removed");
@@ -222,7 +277,10 @@
      */
     public boolean markLeaving(UpstreamId id, long processStartMillis, String source) {
         ReplicaState replica = replicas.get(id);
-        if (replica == null || !replica.availability().onLeaving(processStartMillis)) {
+        if (replica == null) {
+            return departed.markLeaving(id, processStartMillis);
+        }
+        if (!replica.availability().onLeaving(processStartMillis)) {
             return false;
         }
         LogEvent.REPLICA_DRAINING.log(id, replica.listed().service(), source);
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaAvailability.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaAvailability.java
@@ -6,7 +6,8 @@
 import org.tarragonring.time.MonotonicClock;
 
 /**
- * Whether a replica wants new calls: it may be about to shut down, or have asked this entry for a pause.
+ * Whether a replica wants new calls: it may be about to shut down, or have asked this entry for a pause. It outlasts the
+ * registration of the replica, as the same process may be registered again.
  *
  * <p>Not thread-safe.
  *
@@ -23,7 +24,12 @@
     private long newestStartMillis = Long.MIN_VALUE;
     private long pausedUntilMillis;
 
-    ReplicaAvailability(MonotonicClock clock) {
+    /**
+     * Creates the availability of a replica that wants calls.
+     *
+     * @param clock the monotonic clock, not null
+     */
+    public ReplicaAvailability(MonotonicClock clock) {
         this.clock = Objects.requireNonNull(clock, "clock");
         this.pausedUntilMillis = clock.millis();
     }
@@ -38,10 +44,32 @@
         }
     }
 
-    /** Ends a pause that the process before has asked for. */
-    void onNewProcess(ReplicaProcess process) {
-        newestStartMillis = process.startMillis();
-        pausedUntilMillis = clock.millis();
+    /** Ends a pause that the process before has asked for. Does nothing if the process is known. */
+    void onProcess(ReplicaProcess process) {
+        if (process.startMillis() > newestStartMillis) {
+            newestStartMillis = process.startMillis();
+            pausedUntilMillis = clock.millis();
+        }
+    }
+
+    /**
+     * Checks whether a process of the replica is known that started after another one.
+     *
+     * @param startMillis the start time of the other process, in Unix milliseconds
+     * @return true if a later process has registered or sent a report
+     */
+    public boolean isNewerThan(long startMillis) {
+        return newestStartMillis > startMillis;
+    }
+
+    /**
+     * Checks whether a process is the newest one that is known of the replica.
+     *
+     * @param startMillis the start time of the process, in Unix milliseconds
+     * @return false if an earlier or a later one is known, or none
+     */
+    public boolean isOfProcess(long startMillis) {
+        return newestStartMillis == startMillis;
     }
 
     /**
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/replica/ReplicaState.java
@@ -57,10 +57,21 @@
      * @param clock the monotonic clock, not null
      */
     public ReplicaState(ListedReplica listed, MonotonicClock clock) {
+        this(listed, new ReplicaAvailability(clock), clock);
+    }
+
+    /**
+     * Creates the state of a replica that was listed before.
+     *
+     * @param listed the registration, not null
+     * @param availability what is known of the replica's availability, not null
+     * @param clock the monotonic clock, not null
+     */
+    public ReplicaState(ListedReplica listed, ReplicaAvailability availability, MonotonicClock clock) {
         this.listed = Objects.requireNonNull(listed, "listed");
+        this.availability = Objects.requireNonNull(availability, "availability");
         this.clock = Objects.requireNonNull(clock, "clock");
         this.lastOrderUpdateMillis = clock.millis() - MAX_LIST_LAG_MILLIS;
-        this.availability = new ReplicaAvailability(clock);
         restart(listed.process(), listed.holdings());
         availability.onListed(listed);
     }
@@ -188,7 +199,7 @@
             unavailableUntilMillis.clear();
         }
         if (!isSameProcess) {
-            availability.onNewProcess(newProcess);
+            availability.onProcess(newProcess);
         }
         process = isSameProcess ? process.mergedWith(newProcess) : newProcess;
         acceptedOrders = newAcceptedOrders;
@@ -421,7 +432,7 @@
 
     private void restart(ReplicaProcess newProcess, Holdings holdings) {
         process = newProcess;
-        availability.onNewProcess(newProcess);
+        availability.onProcess(newProcess);
         acceptedOrders = holdings.acceptedOrders();
         unavailableUntilMillis.clear();
         residents.clear();
@@ -479,20 +490,11 @@
     }
 
     private void addResident(ModelName model, Set<String> adapters) {
-        residents.merge(model, new HashSet<>(adapters), ReplicaState::union);
-    }
-
-    private static Set<String> union(Set<String> first, Set<String> second) {
-        first.addAll(second);
-        return first;
+        residents.computeIfAbsent(model, name -> new HashSet<>()).addAll(adapters);
     }
 
     private boolean isUnavailable(String key) {
-        Long untilMillis = unavailableUntilMillis.get(key);
-        if (untilMillis != null && clock.millis() >= untilMillis) {
-            unavailableUntilMillis.remove(key);
-            return false;
-        }
-        return untilMillis != null;
+        unavailableUntilMillis.values().removeIf(untilMillis -> clock.millis() >= untilMillis);
+        return unavailableUntilMillis.containsKey(key);
     }
 }
