Tell the version of a stream that no entry knows from its id

Cause: the version that began a stream was known to its entry and two others only, and told once. When these have ended, the record of versions names two, and the call is refused.

Change: while several versions are recorded, the streams of each service and model are divided into 16 slots by their ids, and the record says where the streams of each slot begin. A stream begins only where its slot says; if no replica can run it there, or one of another version has far fewer calls, the slot is moved first, in a write that all calls of the entry share. A stream that no entry knows goes on if its slot names one version and is refused otherwise. Entries read the record every 5 s while it names several versions, so that none begins streams where they were moved from. With one version nothing is added. The record keeps its name; a reader of the release before ignores the new field.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Exchange.java
@@ -97,6 +97,9 @@
     /** The process that sent the first event of the response; empty before. */
     private Optional<ReplicaProcess> beginner = Optional.empty();
 
+    /** Whether the streams of the call's slot were to be moved to a version with fewer calls. */
+    boolean slotMoveTried;
+
     boolean loadCheckScheduled;
     /** Whether a part of the response was already forwarded to the caller. */
     boolean responseStarted;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -51,6 +51,9 @@
     /** A call with less time left than this is refused instead of sent to a replica. */
     private static final long MIN_REMAINING_MILLIS = 15;
 
+    /** How long a call waits to be sent to a replica with fewer calls, so that a slow store does not delay its first event. */
+    private static final Duration MAX_SLOT_MOVE_TIME = Duration.ofMillis(100);
+
     private static final String VERSION_NOT_RECORDED = "the software version of the replicas could not be recorded";
 
     private final ReplicaCatalog catalog;
@@ -248,11 +251,12 @@
             return;
         }
         ReplicaSelector.Selection selection = selector.select(exchange);
-        Optional<CompletableFuture<Boolean>> recording = selection.unrecorded().map(resumption::recordVersion);
+        if (selection.change().isPresent()
+                && isChanged(exchange, selection.change().get())) {
+            return;
+        }
         if (selection.picked().isPresent()) {
             send(exchange, selection.picked().get());
-        } else if (recording.isPresent()) {
-            recording.get().thenAccept(isRecorded -> dispatchOrRefuse(exchange, isRecorded, VERSION_NOT_RECORDED));
         } else if (selection.isAnyEligible()) {
             backOff(exchange, timeoutAtMillis);
         } else {
@@ -260,6 +264,37 @@
         }
     }
 
+    /**
+     * Changes the record of versions so that a stream may begin at a replica.
+     *
+     * @return whether the call is dispatched again when that is done
+     */
+    private boolean isChanged(Exchange exchange, ReplicaSelector.Change change) {
+        switch (change.kind()) {
+            case REQUIRED ->
+                resumption
+                        .allow(exchange, change.replica())
+                        .thenAccept(isAllowed -> dispatchOrRefuse(exchange, isAllowed, VERSION_NOT_RECORDED));
+            case PREFERRED -> {
+                if (exchange.slotMoveTried) {
+                    return false;
+                }
+                exchange.slotMoveTried = true;
+                CompletableFuture<Boolean> moved = resumption.allow(exchange, change.replica());
+                Timers.Task timeout = timers.schedule(MAX_SLOT_MOVE_TIME, () -> moved.complete(false));
+                moved.thenAccept(isAllowed -> {
+                    timeout.cancel();
+                    dispatch(exchange);
+                });
+            }
+            default -> {
+                resumption.recordVersion(change.replica());
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Sends a call again after a delay, as all replicas have rejected it, unless that will be too late. */
     private void backOff(Exchange exchange, long timeoutAtMillis) {
         exchange.failedReplicas.clear();
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaSelector.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/ReplicaSelector.java
@@ -7,6 +7,7 @@
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
 import org.tarragonring.gateway.routing.UnevenRouting;
 import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.policy.streams.SlotMoves;
 
 /**
  * Selects the replica to which a call is sent.
@@ -33,7 +34,7 @@
     }
 
     /**
-     * Selects a replica. If the one that suits best runs software at which a stream may not begin yet, another one is
+     * Selects a replica. If the one that suits best runs software at which the stream may not begin yet, another one is
      * selected if there is any.
      */
     Selection select(Exchange exchange) {
@@ -46,9 +47,23 @@
                 .filter(replica -> !exchange.failedReplicas.contains(replica.id()))
                 .toList();
         Optional<ReplicaState> best = routing.pick(untried, exchange.profile());
-        Optional<ReplicaState> unrecorded = best.filter(replica -> !resumption.isBeginRecorded(exchange, replica));
-        Optional<ReplicaState> picked = unrecorded.isEmpty() ? best : pickRecorded(exchange, untried);
-        return new Selection(picked, unrecorded, !eligible.isEmpty());
+        Optional<ReplicaState> notAllowed = best.filter(replica -> !resumption.mayBegin(exchange, replica));
+        Optional<ReplicaState> picked = notAllowed.isEmpty() ? best : pickAllowed(exchange, untried);
+        return new Selection(
+                picked, notAllowed.flatMap(replica -> change(exchange, picked, replica)), !eligible.isEmpty());
+    }
+
+    /** Returns what is to be recorded so that a stream may begin at the replica that suits best. */
+    private Optional<Change> change(Exchange exchange, Optional<ReplicaState> picked, ReplicaState best) {
+        if (picked.isEmpty()) {
+            return Optional.of(new Change(best, Change.Kind.REQUIRED));
+        }
+        if (!resumption.isRecorded(best)) {
+            return Optional.of(new Change(best, Change.Kind.VERSION_ONLY));
+        }
+        boolean isWorthwhile = resumption.isMovable(exchange, best)
+                && SlotMoves.isWorthwhile(picked.get().inFlight(), best.inFlight());
+        return isWorthwhile ? Optional.of(new Change(best, Change.Kind.PREFERRED)) : Optional.empty();
     }
 
     /**
@@ -75,24 +90,42 @@
 
     /** Returns whether a call may be sent to the replica that was selected for it, which may have changed since then. */
     boolean mayRun(Exchange exchange, ReplicaState replica) {
-        return catalog.isUsable(replica)
-                && exchange.isContinuedBy(replica)
-                && resumption.isBeginRecorded(exchange, replica);
+        return catalog.isUsable(replica) && exchange.isContinuedBy(replica) && resumption.mayBegin(exchange, replica);
     }
 
-    private Optional<ReplicaState> pickRecorded(Exchange exchange, List<ReplicaState> candidates) {
-        List<ReplicaState> recorded = candidates.stream()
-                .filter(replica -> resumption.isBeginRecorded(exchange, replica))
+    private Optional<ReplicaState> pickAllowed(Exchange exchange, List<ReplicaState> candidates) {
+        List<ReplicaState> allowed = candidates.stream()
+                .filter(replica -> resumption.mayBegin(exchange, replica))
                 .toList();
-        return routing.pick(recorded, exchange.profile());
+        return routing.pick(allowed, exchange.profile());
     }
 
     /**
      * The result of a selection.
      *
      * @param picked the replica to which the call is sent, empty if there is none now
-     * @param unrecorded a replica that suits better or alone, whose software version is to be recorded first
+     * @param change what is to be recorded so that a stream may begin at a replica that suits better or alone; empty if
+     *     nothing is
      * @param isAnyEligible whether a replica can run the call, possibly one that has failed it before
      */
-    record Selection(Optional<ReplicaState> picked, Optional<ReplicaState> unrecorded, boolean isAnyEligible) {}
+    record Selection(Optional<ReplicaState> picked, Optional<Change> change, boolean isAnyEligible) {}
+
+    /**
+     * A change of the record of versions.
+     *
+     * @param replica the replica at whose version the stream may not begin yet
+     * @param kind why the record is to be changed
+     */
+    record Change(ReplicaState replica, Kind kind) {
+
+        /** Why the record is to be changed. */
+        enum Kind {
+            /** The stream can begin nowhere else. */
+            REQUIRED,
+            /** The replica has far fewer calls than the one that was picked. */
+            PREFERRED,
+            /** The version is new; the stream begins at the replica that was picked. */
+            VERSION_ONLY
+        }
+    }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/StreamResumption.java
@@ -14,6 +14,7 @@
 import org.tarragonring.policy.config.RouteKind;
 import org.tarragonring.policy.replica.ReplicaProcess;
 import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.policy.streams.StreamSlot;
 
 /**
  * Keeps streams at the version of the replicas' software that began them, in one response and over several calls.
@@ -59,7 +60,8 @@
                 .orElse(CompletableFuture.completedFuture(Optional.empty()))
                 .thenCompose(version -> version.isPresent()
                         ? CompletableFuture.completedFuture(version)
-                        : servingVersions.onlyVersion(exchange.service));
+                        : servingVersions.onlyVersion(
+                                exchange.service, firstCall(exchange).map(id -> slot(exchange, id))));
     }
 
     /**
@@ -80,16 +82,36 @@
         return processCheck.apply(replica);
     }
 
-    /** Returns whether a call may be sent to a replica: a resumable stream begins at recorded versions only. */
-    boolean isBeginRecorded(Exchange exchange, ReplicaState replica) {
-        return !exchange.route.resumable()
-                || exchange.hasBegun()
+    /** Returns whether a call begins a stream that may be resumed, so that the version that begins it must be known later. */
+    boolean beginsStream(Exchange exchange) {
+        return exchange.route.resumable() && !exchange.hasBegun();
+    }
+
+    /** Returns whether a call may be sent to a replica: a resumable stream begins where the record of versions says. */
+    boolean mayBegin(Exchange exchange, ReplicaState replica) {
+        return !beginsStream(exchange)
                 || replica.process()
                         .software()
-                        .map(version -> servingVersions.isRecorded(exchange.service, version))
+                        .map(version -> servingVersions.mayBegin(exchange.service, slotOfNew(exchange), version))
                         .orElse(true);
     }
 
+    /** Returns whether the version of a replica's software is recorded, though perhaps not for the slot of the stream. */
+    boolean isRecorded(ReplicaState replica) {
+        return replica.process()
+                .software()
+                .map(version -> servingVersions.isRecorded(replica.listed().service(), version))
+                .orElse(true);
+    }
+
+    /** Returns whether the streams of the call's slot may be moved to the version of a replica, only as that suits better. */
+    boolean isMovable(Exchange exchange, ReplicaState replica) {
+        return replica.process()
+                .software()
+                .map(version -> servingVersions.isMovable(exchange.service, slotOfNew(exchange), version))
+                .orElse(false);
+    }
+
     /**
      * Records the version of a replica's software, so that streams may begin there.
      *
@@ -102,6 +124,26 @@
                 .orElse(CompletableFuture.completedFuture(true));
     }
 
+    /**
+     * Records that the streams of the call's slot begin at the version of a replica's software.
+     *
+     * @return whether that is recorded now; never fails
+     */
+    CompletableFuture<Boolean> allow(Exchange exchange, ReplicaState replica) {
+        return replica.process()
+                .software()
+                .map(version -> servingVersions.allow(exchange.service, slotOfNew(exchange), version))
+                .orElse(CompletableFuture.completedFuture(true));
+    }
+
+    private static StreamSlot slotOfNew(Exchange exchange) {
+        return slot(exchange, new StreamId(exchange.head.id()));
+    }
+
+    private static StreamSlot slot(Exchange exchange, StreamId streamId) {
+        return StreamSlot.of(exchange.head.model(), streamId);
+    }
+
     /** Ties the stream to the process that sends its first event, and to the version of its software. */
     void onFirstEvent(Exchange exchange, ReplicaProcess process) {
         if (!exchange.route.resumable()) {
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/RecordedVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/RecordedVersions.java
@@ -1,11 +1,9 @@
 package org.tarragonring.gateway.streams;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
@@ -14,20 +12,31 @@
 import org.tarragonring.objects.ObjectStore;
 import org.tarragonring.objects.StoreEra;
 import org.tarragonring.objects.StoredObject;
+import org.tarragonring.policy.streams.SlotVersions;
+import org.tarragonring.policy.streams.StreamAssignment;
+import org.tarragonring.policy.streams.StreamSlot;
 
 /**
  * The record of software versions as it is stored.
  *
  * @param objectVersion the version of the object in the store
  * @param versions the recorded versions of each service
+ * @param assignments the versions at which the streams of each service begin
  * @param isComplete whether all versions that may have begun streams are recorded
  * @param era the era of the store in which the record was written
  */
 record RecordedVersions(
-        long objectVersion, Map<ServiceName, Set<SoftwareVersion>> versions, boolean isComplete, StoreEra era) {
+        long objectVersion,
+        Map<ServiceName, Set<SoftwareVersion>> versions,
+        Map<ServiceName, StreamAssignment> assignments,
+        boolean isComplete,
+        StoreEra era) {
+
+    /** The version of replicas that tell none. */
+    private static final SoftwareVersion UNKNOWN = new SoftwareVersion("");
 
     static RecordedVersions absent(boolean isComplete, StoreEra era) {
-        return new RecordedVersions(ObjectStore.ABSENT_VERSION, Map.of(), isComplete, era);
+        return new RecordedVersions(ObjectStore.ABSENT_VERSION, Map.of(), Map.of(), isComplete, era);
     }
 
     /**
@@ -39,25 +48,40 @@
     static RecordedVersions decode(StoredObject object, StoreEra newestEra) {
         try {
             VersionRecord record = Json.read(object.value(), VersionRecord.class);
+            Map<ServiceName, Set<SoftwareVersion>> versions = record.toVersions();
             return new RecordedVersions(
-                    object.version(), record.toVersions(), !record.incomplete(), new StoreEra(record.era()));
+                    object.version(),
+                    versions,
+                    withUnknown(record.toAssignments(), versions),
+                    !record.incomplete(),
+                    new StoreEra(record.era()));
         } catch (RuntimeException | StackOverflowError e) {
             LogEvent.STORED_OBJECT_INVALID.log(object.key(), "services", "cannot be read: " + e.getMessage());
-            return new RecordedVersions(object.version(), Map.of(), false, newestEra);
+            return new RecordedVersions(object.version(), Map.of(), Map.of(), false, newestEra);
         }
     }
 
+    /** Adds the services whose streams began where entries of an earlier release chose, which have recorded no slots. */
+    private static Map<ServiceName, StreamAssignment> withUnknown(
+            Map<ServiceName, StreamAssignment> recorded, Map<ServiceName, Set<SoftwareVersion>> versions) {
+        Map<ServiceName, StreamAssignment> assignments = new HashMap<>(recorded);
+        versions.forEach((service, each) ->
+                assignments.putIfAbsent(service, StreamAssignment.unknown(each).retaining(each)));
+        assignments.keySet().retainAll(versions.keySet());
+        return assignments;
+    }
+
     /** Encodes the value of the record. */
     byte[] encode() {
         return Json.write(VersionRecord.of(this));
     }
 
     RecordedVersions withObjectVersion(long newVersion) {
-        return new RecordedVersions(newVersion, versions, isComplete, era);
+        return new RecordedVersions(newVersion, versions, assignments, isComplete, era);
     }
 
     RecordedVersions withComplete(boolean isNowComplete) {
-        return new RecordedVersions(objectVersion, versions, isNowComplete, era);
+        return new RecordedVersions(objectVersion, versions, assignments, isNowComplete, era);
     }
 
     /** Returns whether the record says the same as another one, which may be stored at another version. */
@@ -74,29 +98,36 @@
     }
 
     /**
-     * The JSON value of the record.
+     * Finds the version that began all running streams of a service, or all those of a slot.
      *
-     * @param era the number of the era in which the record was written, 0 if it was not told
-     * @param incomplete whether versions that may have begun streams may be missing
-     * @param services the names of the versions, by the name of the service
+     * @param service the service
+     * @param slot the slot, empty if it is not known
+     * @param listed the versions of the listed replicas
+     * @param newestEra the era of the store
+     * @return the version, empty if it is not known
      */
-    private record VersionRecord(long era, boolean incomplete, Map<String, List<String>> services) {
-
-        static VersionRecord of(RecordedVersions recorded) {
-            Map<String, List<String>> services = new TreeMap<>();
-            recorded.versions()
-                    .forEach((service, each) -> services.put(
-                            service.value(),
-                            each.stream().map(SoftwareVersion::value).toList()));
-            return new VersionRecord(recorded.era().number(), !recorded.isComplete(), services);
+    Optional<SoftwareVersion> only(
+            ServiceName service, Optional<StreamSlot> slot, Set<SoftwareVersion> listed, StoreEra newestEra) {
+        Set<SoftwareVersion> recorded = of(service);
+        boolean isKnown = isComplete && era.equals(newestEra) && recorded.containsAll(listed);
+        if (!isKnown || recorded.isEmpty() || recorded.contains(UNKNOWN)) {
+            return Optional.empty();
         }
+        return recorded.size() == 1
+                ? Optional.of(recorded.iterator().next())
+                : slot.flatMap(each -> slot(service, each).only());
+    }
 
-        Map<ServiceName, Set<SoftwareVersion>> toVersions() {
-            Map<ServiceName, Set<SoftwareVersion>> versions = new HashMap<>();
-            services.forEach((service, names) -> versions.put(
-                    new ServiceName(service),
-                    new TreeSet<>(names.stream().map(SoftwareVersion::new).toList())));
-            return versions;
-        }
+    SlotVersions slot(ServiceName service, StreamSlot slot) {
+        return assignment(service).of(slot);
+    }
+
+    StreamAssignment assignment(ServiceName service) {
+        return assignments.getOrDefault(service, StreamAssignment.unknown(Set.of()));
+    }
+
+    /** Returns whether several versions of a service may have begun running streams. */
+    boolean hasSeveralVersions() {
+        return versions.values().stream().anyMatch(each -> each.size() > 1);
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -19,8 +18,7 @@
 import org.tarragonring.ids.SoftwareVersion;
 import org.tarragonring.log.LogEvent;
 import org.tarragonring.objects.ObjectStore;
-import org.tarragonring.policy.replica.ListedReplica;
-import org.tarragonring.policy.replica.ReplicaState;
+import org.tarragonring.policy.streams.StreamSlot;
 import org.tarragonring.time.MonotonicClock;
 import org.tarragonring.time.Timers;
 
@@ -29,6 +27,11 @@
  * runs: those that are listed, and those that were until no stream of theirs can run any more. Entries that have all
  * started again know no stream, but if a single version is recorded, it has begun all of them.
  *
+ * <p>While several versions are recorded, the streams of each service and model are divided into slots by their ids, and the
+ * record says for each slot at which version its streams begin. So an entry can tell the version of a stream that it does
+ * not know, and nothing is written for a single stream. A slot that is moved to another version also names the one before,
+ * until none of its streams can run any more.
+ *
  * <p>A version is recorded before an entry begins a stream at it. If the record is missing although entries have served
  * before, or cannot be read, the new one says that it is not complete, until no stream can run any more that began before.
  * So it does if the store has come back from an older copy and no entry knows what was recorded since that copy was made;
@@ -36,7 +39,8 @@
  *
  * <p>The record contains no times, as the clocks of entries differ: the entry that is responsible for it removes a version
  * when it has itself not seen the version for long enough. The record is read when an entry starts and when a caller
- * takes up a stream that no entry knows, and written when a version joins and when it is removed.
+ * takes up a stream that no entry knows, and written when a version joins, when it is removed and when slots are moved.
+ * While there are several versions, each entry reads it regularly.
  *
  * <p>Not thread-safe.
  *
@@ -50,15 +54,15 @@
     /** The store key of the record. */
     static final String KEY = "tarragonring-software/versions";
 
-    /** Stands in the record for versions that are not known, as replicas that tell no version do in their list. */
-    static final SoftwareVersion UNKNOWN = new SoftwareVersion("");
-
     /** The time between checks whether the record is up to date. */
     static final Duration CHECK_PERIOD = Duration.ofSeconds(1);
 
     /** How long an entry waits after its start, until it knows which entry is responsible. */
     static final Duration SETTLE_TIME = Duration.ofSeconds(3);
 
+    /** The longest time between two reads of the record while the streams of a service begin at several versions. */
+    static final Duration FOLLOW_PERIOD = Duration.ofSeconds(5);
+
     /** How often the store is asked before callers are told that something is not known. */
     static final int READ_ATTEMPTS = 3;
 
@@ -73,8 +77,9 @@
 
     private final ObjectStore store;
     private final ReplicaCatalog catalog;
-    private final CurrentReplicas currentReplicas;
+    private final ListedVersions listed;
     private final StoredVersionRecord storedRecord;
+    private final SlotAssignments slots;
     private final BooleanSupplier responsible;
     private final Supplier<Optional<Duration>> longestStream;
     private final MonotonicClock clock;
@@ -88,10 +93,7 @@
     private Optional<RecordedVersions> recorded = Optional.empty();
 
     /** What was recorded before the store came back from an older copy, until it is recorded again. */
-    private Map<ServiceName, Set<SoftwareVersion>> lost = Map.of();
-
-    /** Whether this entry knew all recorded versions when the newest era of the store began. */
-    private boolean knowsLost;
+    private LostVersions lost = LostVersions.NONE;
 
     /** When this entry first read the record of an older copy without knowing what is lost; empty if it has not. */
     private Optional<Long> olderCopyReadMillis = Optional.empty();
@@ -108,6 +110,7 @@
     private boolean mayRemove;
 
     private boolean stopped;
+    private long lastReadMillis;
     private Optional<Long> listOutOfDateSinceMillis = Optional.empty();
     private long startedMillis;
     private Timers.Task checks = () -> {};
@@ -136,8 +139,9 @@
             Timers timers) {
         this.store = Objects.requireNonNull(store, "store");
         this.catalog = Objects.requireNonNull(catalog, "catalog");
-        this.currentReplicas = Objects.requireNonNull(currentReplicas, "currentReplicas");
         this.storedRecord = new StoredVersionRecord(store, traceOfServing, timers);
+        this.listed = new ListedVersions(catalog, currentReplicas, storedRecord);
+        this.slots = new SlotAssignments(catalog, clock);
         this.responsible = Objects.requireNonNull(responsible, "responsible");
         this.longestStream = Objects.requireNonNull(longestStream, "longestStream");
         this.clock = Objects.requireNonNull(clock, "clock");
@@ -195,56 +199,65 @@
     }
 
     /**
-     * Finds the version of the software that began all running streams of a service.
+     * Checks whether a stream may begin at a version.
      *
      * @param service the service, not null
-     * @return the version; empty if several versions may have begun streams, or if the store does not tell; never fails
+     * @param slot the slot of the stream, not null
+     * @param version the version of the software, not null
+     * @return false if this entry does not know that it may
      */
-    public CompletableFuture<Optional<SoftwareVersion>> onlyVersion(ServiceName service) {
-        return listedVersions(service)
-                .thenCombine(
-                        storedRecord.retry(this::read, READ_ATTEMPTS),
-                        (listed, record) ->
-                                listed.isPresent() ? onlyVersion(record, service, listed.get()) : Optional.empty());
+    public boolean mayBegin(ServiceName service, StreamSlot slot, SoftwareVersion version) {
+        return isRecorded(service, version)
+                && recorded.orElseThrow().slot(service, slot).open().contains(version);
     }
 
-    private Optional<SoftwareVersion> onlyVersion(
-            Optional<RecordedVersions> record, ServiceName service, Set<SoftwareVersion> listed) {
-        Set<SoftwareVersion> versions = new TreeSet<>(record.filter(RecordedVersions::isComplete)
-                .filter(known -> known.era().equals(store.era()))
-                .map(known -> known.of(service))
-                .orElse(Set.of()));
-        boolean isKnown = !versions.isEmpty();
-        versions.addAll(listed);
-        return isKnown && versions.size() == 1 && !versions.contains(UNKNOWN)
-                ? Optional.of(versions.iterator().next())
-                : Optional.empty();
+    /**
+     * Checks whether a slot may be moved to a version only because that suits better.
+     *
+     * @param service the service, not null
+     * @param slot the slot, not null
+     * @param version the version of the software, not null
+     * @return false if the version is not recorded, or if the slot was moved lately
+     */
+    public boolean isMovable(ServiceName service, StreamSlot slot, SoftwareVersion version) {
+        return isRecorded(service, version)
+                && recorded.orElseThrow().slot(service, slot).isSettled();
     }
 
-    /** Returns the versions of the listed replicas, empty if an up-to-date list cannot be read. */
-    private CompletableFuture<Optional<Set<SoftwareVersion>>> listedVersions(ServiceName service) {
-        if (catalog.isListCurrent()) {
-            return CompletableFuture.completedFuture(
-                    Optional.of(listedVersions().getOrDefault(service, Set.of())));
+    /**
+     * Lets the streams of a slot begin at a listed version.
+     *
+     * @param service the service, not null
+     * @param slot the slot, not null
+     * @param version the version of the software, not null
+     * @return whether they may begin there now; never fails
+     */
+    public CompletableFuture<Boolean> allow(ServiceName service, StreamSlot slot, SoftwareVersion version) {
+        if (mayBegin(service, slot, version)) {
+            return CompletableFuture.completedFuture(true);
         }
-        return storedRecord
-                .retry(currentReplicas::read, READ_ATTEMPTS)
-                .thenApply(replicas ->
-                        replicas.map(listed -> versionsByService(listed).getOrDefault(service, Set.of())));
-    }
-
-    private Map<ServiceName, Set<SoftwareVersion>> listedVersions() {
-        return versionsByService(
-                catalog.all().stream().map(ReplicaState::listed).toList());
+        SlotAssignments.Request request = new SlotAssignments.Request(service, slot, version);
+        slots.add(request);
+        // an update that has begun before may not contain the request
+        CompletableFuture<Void> updated = update().thenCompose(
+                        done -> mayBegin(service, slot, version) ? CompletableFuture.completedFuture(null) : update());
+        updated.thenRun(() -> slots.remove(request));
+        return updated.thenApply(done -> mayBegin(service, slot, version));
     }
 
-    private static Map<ServiceName, Set<SoftwareVersion>> versionsByService(List<ListedReplica> replicas) {
-        Map<ServiceName, Set<SoftwareVersion>> versions = new HashMap<>();
-        for (ListedReplica replica : replicas) {
-            versions.computeIfAbsent(replica.service(), service -> new TreeSet<>())
-                    .add(replica.software());
-        }
-        return versions;
+    /**
+     * Finds the version of the software that began all running streams of a service, or all those of a slot.
+     *
+     * @param service the service, not null
+     * @param slot the slot, empty if it is not known; not null
+     * @return the version; empty if several versions may have begun streams, or if the store does not tell; never fails
+     */
+    public CompletableFuture<Optional<SoftwareVersion>> onlyVersion(ServiceName service, Optional<StreamSlot> slot) {
+        return listed.upToDate(service)
+                .thenCombine(
+                        storedRecord.retry(this::read, READ_ATTEMPTS),
+                        (listed, record) -> listed.flatMap(
+                                versions -> record.flatMap(known -> known.only(service, slot, versions, store.era()))));
     }
 
     private void readAtStart() {
@@ -261,8 +274,8 @@
         if (stopped || !isRead() || !isListCurrent()) {
             return;
         }
-        Set<ServiceVersion> listed = pairs(listedVersions());
-        confirmed.retainAll(listed);
+        Set<ServiceVersion> listedNow = pairs(listed.all());
+        confirmed.retainAll(listedNow);
         boolean isSettled = clock.millis() - startedMillis >= SETTLE_TIME.toMillis();
         boolean isResponsible = isSettled && responsible.getAsBoolean();
         boolean hasTakenOver = isResponsible && !mayRemove;
@@ -271,16 +284,22 @@
             // a version may have returned and left since it was read of first
             firstReadMillis.replaceAll((version, readMillis) -> clock.millis());
             incompleteReadMillis = incompleteReadMillis.map(readMillis -> clock.millis());
+            slots.restartAges();
         }
         RecordedVersions known = recorded.orElseThrow();
         if (hasTakenOver || isResponsible && !isUpToDate(known, wanted(known))) {
             update();
-        } else if (isSettled && !confirmed.containsAll(listed)) {
+        } else if (isSettled && !confirmed.containsAll(listedNow) || mustFollow(known)) {
             // the store may not respond when the first stream begins
             read();
         }
     }
 
+    /** Returns whether another entry may have moved slots since this entry has read the record. */
+    private boolean mustFollow(RecordedVersions known) {
+        return known.hasSeveralVersions() && clock.millis() - lastReadMillis >= FOLLOW_PERIOD.toMillis();
+    }
+
     /** Checks the list, and reads the record again after the list was out of date for so long that versions may have left. */
     private boolean isListCurrent() {
         if (!catalog.isListCurrent()) {
@@ -301,14 +320,11 @@
      */
     private void onStoreRestored() {
         confirmed.clear();
-        knowsLost = recorded.map(RecordedVersions::isComplete).orElse(false);
         long goneMillis = goneMillis();
-        lost = new HashMap<>(lost);
-        recorded.map(RecordedVersions::versions)
-                .orElse(Map.of())
-                .forEach((service, versions) -> versions.stream()
-                        .filter(version -> firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis)
-                        .forEach(version -> add(lost, service, version)));
+        lost = recorded.map(known -> lost.with(
+                        known,
+                        (service, version) -> firstReadMillis.get(new ServiceVersion(service, version)) > goneMillis))
+                .orElse(LostVersions.NONE);
         if (isRead()) {
             timers.schedule(responsible.getAsBoolean() ? Duration.ZERO : REWRITE_DELAY_OF_OTHERS, this::update);
         }
@@ -345,7 +361,7 @@
             }
             RecordedVersions wanted = wanted(record.get());
             if (isUpToDate(record.get(), wanted)) {
-                lost = Map.of();
+                lost = LostVersions.NONE;
                 return CompletableFuture.completedFuture(null);
             }
             return write(wanted)
@@ -372,10 +388,10 @@
     /** Returns what is to be recorded: the versions that this entry has seen or read of, unless they left long ago. */
     private RecordedVersions wanted(RecordedVersions record) {
         long goneMillis = goneMillis();
-        Map<ServiceName, Set<SoftwareVersion>> wanted = listedVersions();
+        Map<ServiceName, Set<SoftwareVersion>> wanted = listed.all();
         catalog.versionsListedSince(goneMillis)
                 .forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
-        lost.forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
+        lost.versions().forEach((service, versions) -> versions.forEach(version -> add(wanted, service, version)));
         boolean mayRemoveNow = mayRemove && catalog.isListCurrent();
         record.versions()
                 .forEach((service, versions) -> versions.forEach(version -> {
@@ -386,7 +402,20 @@
         boolean isOver = mayRemoveNow
                 && record.era().equals(store.era())
                 && incompleteReadMillis.filter(since -> since <= goneMillis).isPresent();
-        return new RecordedVersions(record.objectVersion(), wanted, record.isComplete() || isOver, store.era());
+        return new RecordedVersions(
+                record.objectVersion(),
+                wanted,
+                slots.wanted(record, wanted, lost.assignments(), mayRemoveNow ? settledMillis() : Optional.empty()),
+                record.isComplete() || isOver,
+                store.era());
+    }
+
+    /** Returns the time before which a slot must have been moved so that none of its earlier streams runs any more. */
+    private Optional<Long> settledMillis() {
+        return longestStream
+                .get()
+                .map(duration -> clock.millis()
+                        - duration.plus(FOLLOW_PERIOD).plus(CHECK_PERIOD).toMillis());
     }
 
     /** Returns the time before which a version must have been seen last so that no stream of it runs any more. */
@@ -408,6 +437,7 @@
         return storedRecord.read(isFirstRead).thenApply(stored -> {
             Optional<RecordedVersions> record = stored.map(this::assess);
             record.ifPresent(this::know);
+            lastReadMillis = clock.millis();
             return record;
         });
     }
@@ -421,11 +451,10 @@
 
     private void onWritten(RecordedVersions record) {
         know(record);
-        knowsLost = false;
-        if (!lost.isEmpty()) {
-            lost = Map.of();
+        if (!lost.versions().isEmpty()) {
             LogEvent.RECORD_WRITTEN_AGAIN.log(KEY, store.era());
         }
+        lost = LostVersions.NONE;
         LogEvent.SERVING_VERSIONS_RECORDED.log(record.versions(), record.isComplete());
     }
 
@@ -437,13 +466,11 @@
         if (stored.isAbsent()) {
             boolean hasNeverServed = recorded.map(known -> known.isAbsent() && known.isComplete())
                     .orElse(stored.isComplete());
-            return stored.withComplete(hasNeverServed || knowsLost);
-        }
-        if (stored.isComplete() && stored.era().equals(store.era())) {
-            knowsLost = false;
-            return stored;
+            return stored.withComplete(hasNeverServed || lost.isComplete());
         }
-        return stored.withComplete(knowsLost);
+        return stored.isComplete() && stored.era().equals(store.era())
+                ? stored
+                : stored.withComplete(lost.isComplete());
     }
 
     private void know(RecordedVersions record) {
@@ -452,6 +479,7 @@
         known.forEach(version -> firstReadMillis.putIfAbsent(version, clock.millis()));
         confirmed.clear();
         confirmed.addAll(known);
+        slots.onRecord(record);
         incompleteReadMillis =
                 record.isComplete() ? Optional.empty() : incompleteReadMillis.or(() -> Optional.of(clock.millis()));
         recorded = Optional.of(record);
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/MemoryStore.java
@@ -24,6 +24,7 @@
     private long revision = 100;
     private long copiedRevision;
     private int writeCount;
+    private int readCount;
     private int failingReads;
     private int failingLists;
 
@@ -72,6 +73,11 @@
         return writeCount;
     }
 
+    /** Returns the number of reads of single objects, also of those that failed. */
+    public int readCount() {
+        return readCount;
+    }
+
     @Override
     public Uni<Snapshot> snapshot(String prefix) {
         return list(prefix).map(listed -> new Snapshot(revision, listed));
@@ -79,6 +85,7 @@
 
     @Override
     public Uni<Optional<StoredObject>> read(String key) {
+        readCount++;
         if (failingReads > 0) {
             failingReads--;
             return Uni.createFrom()
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsFixture.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsFixture.java
@@ -82,7 +82,7 @@
         }
 
         Optional<SoftwareVersion> onlyVersion() {
-            return versions.onlyVersion(SERVICE).join();
+            return versions.onlyVersion(SERVICE, Optional.empty()).join();
         }
     }
 }
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/streams/ServingVersionsTest.java
@@ -72,7 +72,7 @@
         entry.list("old-1", "v1");
 
         store.failReads(ServingVersions.READ_ATTEMPTS - 1);
-        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
+        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE, Optional.empty());
         time.advance(StoredVersionRecord.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
 
         assertEquals(V1, version.getNow(Optional.empty()));
@@ -86,7 +86,7 @@
         entry.list("old-1", "v1");
 
         store.failReads(ServingVersions.READ_ATTEMPTS);
-        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
+        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE, Optional.empty());
         time.advance(StoredVersionRecord.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
 
         assertEquals(Optional.empty(), version.getNow(V2));
@@ -306,7 +306,7 @@
         store.put("servers/old-1", "v1".getBytes(StandardCharsets.UTF_8));
 
         store.failLists(ServingVersions.READ_ATTEMPTS - 1);
-        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE);
+        CompletableFuture<Optional<SoftwareVersion>> version = entry.versions.onlyVersion(SERVICE, Optional.empty());
         time.advance(StoredVersionRecord.READ_RETRY_DELAY.multipliedBy(ServingVersions.READ_ATTEMPTS));
 
         assertEquals(V1, version.getNow(Optional.empty()));
