--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/streams/SlotMoves.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/streams/SlotMoves.java
@@ -11,7 +11,7 @@
     private static final int MIN_RATIO = 2;
 
     /** Smaller differences come and go with single calls of an entry. */
-    private static final int MIN_DIFFERENCE = 8;
+    private static final int MIN_DIFFERENCE = 4;
 
     private SlotMoves() {}
 
