Count an answer as delivered when it is written, not when it is queued

Cause, of both: a call ended, and the memory of its body was given back, when the answer was queued for the caller's connection. A shutdown then found no call in flight, and the budget of bodies did not bound what is kept for slow callers, so that the event loop waited for direct memory.

Change: PendingDeliveries counts answers and keeps their memory reserved until they are written or the caller has left; a shutdown waits for them within its limit. Memory that is kept in any case counts also beyond the limit of the budget, and leaves others less.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Attempt.java
@@ -341,9 +341,10 @@
             } else {
                 callerResponse.putHeader(HttpHeaders.CONTENT_LENGTH, length);
             }
-            callerResponse.write(buffered);
-            buffered = Buffer.buffer();
+            Future<Void> written = callerResponse.write(buffered);
             memory.release();
+            context.deliveries.retain(written, buffered.length());
+            buffered = Buffer.buffer();
             applyBackPressure(response, callerResponse);
         }
 
@@ -355,13 +356,15 @@
                 failed(Verdict.MAY_HAVE_RUN, "the connection ended before the response was known to be complete");
                 return;
             }
+            Future<Void> written;
             if (callerResponse == null) {
                 context.listener.onResponded(exchange, replica, context.clock.millis() - sentMillis);
-                startResponse(response).end(buffered);
+                written = startResponse(response).end(buffered);
             } else {
-                callerResponse.end();
+                written = callerResponse.end();
             }
             succeeded(response.statusCode(), "complete");
+            context.deliveries.add(written, buffered.length());
         }
     }
 
@@ -415,8 +418,9 @@
                 onBroken("the stream ended before the end of an event");
                 return;
             }
-            exchange.request.response().end();
+            Future<Void> written = exchange.request.response().end();
             succeeded(response.statusCode(), exchange.framer.eventCount() + " events");
+            context.deliveries.add(written, 0);
         }
 
         private void onBroken(String reason) {
@@ -452,5 +456,6 @@
             LocalResponses localResponses,
             LeavingReplicas leavingReplicas,
             MemoryBudget memory,
+            PendingDeliveries deliveries,
             Listener listener) {}
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -64,6 +64,7 @@
     private final ReplicaFailureMonitor failureMonitor;
     private final MonotonicClock clock;
     private final Timers timers;
+    private final PendingDeliveries deliveries;
     private final CallerConnections callerConnections;
     private final WaitingCalls waiting;
     private final LoadExpectation loadExpectation;
@@ -150,6 +151,7 @@
                 clock,
                 timers,
                 metrics);
+        this.deliveries = new PendingDeliveries(Objects.requireNonNull(memory, "memory"));
         this.context = new Attempt.Context(
                 codec,
                 ejections,
@@ -159,7 +161,8 @@
                 failureMonitor,
                 localResponses,
                 Objects.requireNonNull(leavingReplicas, "leavingReplicas"),
-                Objects.requireNonNull(memory, "memory"),
+                memory,
+                deliveries,
                 this);
     }
 
@@ -168,9 +171,9 @@
         onWaiting = action;
     }
 
-    /** Returns the number of calls that have not ended. */
+    /** Returns the number of calls that have not ended, or whose responses are not delivered yet. */
     int inFlight() {
-        return calls.size();
+        return calls.size() + deliveries.count();
     }
 
     /** Returns the calls that wait for a model or adapter. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/MemoryBudget.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/MemoryBudget.java
@@ -63,9 +63,19 @@
             if (newBytes > bytes && usedBytes - bytes + newBytes > availableBytes) {
                 return false;
             }
+            retain(newBytes);
+            return true;
+        }
+
+        /**
+         * Changes the size also if the budget does not allow it, for what is kept anyway. Until it is given back, others get
+         * less.
+         *
+         * @param newBytes the new size
+         */
+        void retain(long newBytes) {
             usedBytes += newBytes - bytes;
             bytes = newBytes;
-            return true;
         }
 
         /** Gives everything back. */
