Log of which models streams were moved, and read the record again when a read failed

It names the models whose slots were moved now. A read of the record that fails no longer counts as one that the entry has followed, so that the next check repeats it. Forwarder.isChanged, which starts a change, is called startChange.

Measured: the tests of the package streams pass; no behaviour of a call changes.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -135,7 +135,9 @@
             "load of model %s on replica %s did not start within %s ms, planning loads on other replicas"),
     /** The software versions of the replicas were recorded in the store. */
     SERVING_VERSIONS_RECORDED(
-            424, Logger.Level.INFO, "recorded the software versions that may have begun streams: %s, complete=%s"),
+            424,
+            Logger.Level.INFO,
+            "recorded the software versions that may have begun streams: %s, complete=%s, of models %s streams were moved"),
     /** A report of the demand for models was truncated. */
     DEMAND_TRUNCATED(
             425, Logger.Level.WARN, "the planning entry is told of the %s most urgent of %s demands for models"),
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -254,8 +254,9 @@
             return;
         }
         ReplicaSelector.Selection selection = selector.select(exchange);
-        if (selection.change().isPresent()
-                && isChanged(exchange, selection.change().get())) {
+        boolean isPostponed =
+                selection.change().map(change -> startChange(exchange, change)).orElse(false);
+        if (isPostponed) {
             return;
         }
         if (selection.picked().isPresent()) {
@@ -268,11 +269,11 @@
     }
 
     /**
-     * Changes the record of versions so that a stream may begin at a replica.
+     * Starts to change the record of versions so that a stream may begin at a replica.
      *
      * @return whether the call is dispatched again when that is done
      */
-    private boolean isChanged(Exchange exchange, ReplicaSelector.Change change) {
+    private boolean startChange(Exchange exchange, ReplicaSelector.Change change) {
         switch (change.kind()) {
             case REQUIRED ->
                 resumption
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/RecordedVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/RecordedVersions.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.tarragonring.ids.ServiceName;
 import org.tarragonring.ids.SoftwareVersion;
@@ -126,6 +127,19 @@
         return assignments.getOrDefault(service, StreamAssignment.unknown(Set.of()));
     }
 
+    /** Returns the models of which several versions may have begun the running streams of a slot, for the log. */
+    Set<String> unsettledModels() {
+        Set<String> models = new TreeSet<>();
+        assignments
+                .values()
+                .forEach(assignment -> assignment.models().forEach((model, slots) -> {
+                    if (!slots.stream().allMatch(SlotVersions::isSettled)) {
+                        models.add(model);
+                    }
+                }));
+        return models;
+    }
+
     /** Returns whether several versions of a service may have begun running streams. */
     boolean hasSeveralVersions() {
         return versions.values().stream().anyMatch(each -> each.size() > 1);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -110,7 +110,10 @@
     private boolean mayRemove;
 
     private boolean stopped;
-    private long lastReadMillis;
+
+    /** When this entry last read or wrote the record. */
+    private long knownMillis;
+
     private Optional<Long> listOutOfDateSinceMillis = Optional.empty();
     private long startedMillis;
     private Timers.Task checks = () -> {};
@@ -297,7 +300,7 @@
 
     /** Returns whether another entry may have moved slots since this entry has read the record. */
     private boolean mustFollow(RecordedVersions known) {
-        return known.hasSeveralVersions() && clock.millis() - lastReadMillis >= FOLLOW_PERIOD.toMillis();
+        return known.hasSeveralVersions() && clock.millis() - knownMillis >= FOLLOW_PERIOD.toMillis();
     }
 
     /** Checks the list, and reads the record again after the list was out of date for so long that versions may have left. */
@@ -437,7 +440,6 @@
         return storedRecord.read(isFirstRead).thenApply(stored -> {
             Optional<RecordedVersions> record = stored.map(this::assess);
             record.ifPresent(this::know);
-            lastReadMillis = clock.millis();
             return record;
         });
     }
@@ -455,7 +457,7 @@
             LogEvent.RECORD_WRITTEN_AGAIN.log(KEY, store.era());
         }
         lost = LostVersions.NONE;
-        LogEvent.SERVING_VERSIONS_RECORDED.log(record.versions(), record.isComplete());
+        LogEvent.SERVING_VERSIONS_RECORDED.log(record.versions(), record.isComplete(), record.unsettledModels());
     }
 
     /**
@@ -483,6 +485,7 @@
         incompleteReadMillis =
                 record.isComplete() ? Optional.empty() : incompleteReadMillis.or(() -> Optional.of(clock.millis()));
         recorded = Optional.of(record);
+        knownMillis = clock.millis();
     }
 
     private static Set<ServiceVersion> pairs(Map<ServiceName, Set<SoftwareVersion>> versions) {
