Move slots to a new version's replica a little earlier

Now it is moved from one and a half times the calls and five more; the least difference is five calls instead of six.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/streams/SlotMoves.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/streams/SlotMoves.java
@@ -8,10 +8,10 @@
  */
 public final class SlotMoves {
 
-    private static final int MIN_RATIO = 2;
+    private static final double MIN_RATIO = 1.5;
 
     /** Smaller differences come and go with single calls of an entry. */
-    private static final int MIN_DIFFERENCE = 4;
+    private static final int MIN_DIFFERENCE = 5;
 
     private SlotMoves() {}
 
@@ -23,6 +23,6 @@
      * @return true if the other replica has far fewer calls
      */
     public static boolean isWorthwhile(int callsHere, int callsThere) {
-        return callsHere >= MIN_RATIO * (callsThere + 1) + MIN_DIFFERENCE;
+        return callsHere >= MIN_RATIO * callsThere + MIN_DIFFERENCE;
     }
 }
