Do not list the leases for the record of versions after a stop

Since the requests of the record moved into StoredVersionRecord, an entry that is stopped while its first read is on its way lists the leases when the response arrives; before, it looked at that moment whether it was stopped. It does so again. Found by reading the change after the failure; the request that was one too many was not seen in a log.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/ServingVersions.java
@@ -436,8 +436,7 @@
 
     /** Reads the record; empty if the store does not respond. */
     private CompletableFuture<Optional<RecordedVersions>> read() {
-        boolean isFirstRead = recorded.isEmpty() && !stopped;
-        return storedRecord.read(isFirstRead).thenApply(stored -> {
+        return storedRecord.read(recorded.isEmpty()).thenApply(stored -> {
             Optional<RecordedVersions> record = stored.map(this::assess);
             record.ifPresent(this::know);
             return record;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/StoredVersionRecord.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/streams/StoredVersionRecord.java
@@ -71,7 +71,7 @@
     }
 
     private Uni<RecordedVersions> readTraceOfServing(boolean asksForTraces) {
-        return asksForTraces
+        return asksForTraces && !stopped
                 ? store.list(traceOfServing).map(traces -> RecordedVersions.absent(traces.isEmpty(), store.era()))
                 : Uni.createFrom().item(RecordedVersions.absent(false, store.era()));
     }
