Show that an entry serves a revoked key after a restore of the store

Cause: an entry that starts takes the configuration from the store alone, also from an older copy, and takes the answer as a confirmation of keys.

--- a/review/harness-3/Store.java
+++ b/review/harness-3/Store.java
@@ -23,6 +23,8 @@
     private long revision = 1_000;
     private long historyMillis = Long.MAX_VALUE;
     private long droppedRevision;
+    private long era;
+    private Runnable restore = () -> {};
     private volatile Gate gate = (exchange, machine) -> true;
 
     /** Returns an address at which one machine reaches the store, so that machines can be told apart. */
@@ -53,6 +55,33 @@
         historyMillis = millis;
     }
 
+    /** Lets all answers tell the era of the store from now on, and keeps a copy of its objects. */
+    synchronized void copy() {
+        era = Math.max(era, 1);
+        Map<String, TreeMap<String, Map<String, Object>>> objects = new HashMap<>();
+        kinds.forEach((kind, each) -> objects.put(kind, new TreeMap<>(each)));
+        List<Event> copiedHistory = List.copyOf(history);
+        long copiedRevision = revision;
+        restore = () -> {
+            kinds.clear();
+            objects.forEach((kind, each) -> kinds.put(kind, new TreeMap<>(each)));
+            history.clear();
+            history.addAll(copiedHistory);
+            revision = copiedRevision;
+        };
+    }
+
+    /** Comes back from the copy, in a new era. What was written since is gone. */
+    synchronized void restoreCopy() {
+        restore.run();
+        era++;
+        notifyAll();
+    }
+
+    private synchronized long era() {
+        return era;
+    }
+
     private void dropHistory() {
         long nowMillis = System.nanoTime() / 1_000_000;
         while (!history.isEmpty() && nowMillis - history.get(0).atMillis > historyMillis) {
@@ -112,6 +141,9 @@
                 return;
             }
             Answer answer = answer(exchange.getRequestMethod(), path, query(exchange), body);
+            if (era() > 0) {
+                exchange.getResponseHeaders().set("Store-Era", Long.toString(era()));
+            }
             respond(exchange, answer.status, answer.body);
         } catch (InterruptedException e) {
             exchange.close();
