--- a/review/harness-3/ConfigBacklog.java
+++ b/review/harness-3/ConfigBacklog.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /**
- * The store turns one of three entries away for 9 s. Meanwhile the operator publishes 24 versions of a large
+ * The store turns one of three entries away for almost 9 s. Meanwhile the operator publishes 24 versions of a large
  * configuration; the last one moves a route to another service. Checks which service runs the requests of that route that
  * clients send to this entry when it is in touch again.
  */
@@ -13,7 +13,8 @@
 
     private static final int CUSTOMER_ROUTES = 1_600;
     private static final int VERSIONS = 24;
-    private static final long AWAY_MILLIS = 9_000;
+    private static final long GAP_MILLIS = 60;
+    private static final long AWAY_MILLIS = 8_900;
     private static final long CONTACT_MILLIS = 3_000;
     private static final long CONFIG_APPLY_MILLIS = 2_000;
     private static final long OUTER_MILLIS = 5_000;
@@ -51,6 +52,10 @@
         for (Entries.Entry entry : started) {
             record.add("before: %s", look(entry, "before-" + entry.id));
         }
+        List<Object> versions = new ArrayList<>();
+        for (int i = 1; i <= VERSIONS; i++) {
+            versions.add(config(3 + i, i == VERSIONS ? "app2" : "app"));
+        }
         String away = started.get(0).id;
         long awayMillis = record.millis();
         if (trouble) {
@@ -63,11 +68,13 @@
             record.add("the store turns %s away with 503", away);
         }
         Replica.sleep(1_000);
-        for (int i = 1; i <= VERSIONS; i++) {
-            store.put("config", "main", config(3 + i, i == VERSIONS ? "app2" : "app"));
-            Replica.sleep(60);
+        long firstMillis = record.millis();
+        for (int i = 0; i < VERSIONS; i++) {
+            Replica.sleep(Math.max(0, firstMillis + i * GAP_MILLIS - record.millis()));
+            store.put("config", "main", versions.get(i));
         }
         long ackMillis = record.millis();
+        record.add("%d versions were published within %d ms", VERSIONS, ackMillis - firstMillis);
         record.add("version %d is acknowledged, which moves the route to service app2", 3 + VERSIONS);
         Replica.sleep(Math.max(0, awayMillis + AWAY_MILLIS - record.millis()));
         store.setGate((exchange, machine) -> true);
