Apply a configuration in which a team's quota has no burst

Cause: the log of each entry has one line between the new version and the requests, "ignored object config/main: field tenants[1].burst must be at least plain_tokens, 200.0, found: 0.0", and no line that the version was activated. The reader dropped the whole version for the missing burst of another team, although "0 or omitted means no limit" and "The store accepts only valid configurations". The check is right about what it guards against, an account that can never grant a call, but the place for that is the account.

Change: a burst may be missing, 0 or smaller than a call. The rate of the quota is still held, as the rule QUOTA adds a burst of 0 to it. What an account grants at once is at least one call whose number of tokens is not known.

--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaSettings.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/quota/QuotaSettings.java
@@ -73,13 +73,14 @@
     }
 
     /**
-     * Returns how much is granted to a team at once.
+     * Returns how much is granted to a team at once. A limit may have no burst; the rate alone must let calls pass too.
      *
      * @param limit the limit of the team, not null
-     * @return tokens or calls, above the burst of the limit
+     * @return tokens or calls, above the burst of the limit and at least one call whose number of tokens is not known
      */
     public double grantedBurst(QuotaLimit limit) {
-        return limit.burst() + slackTokens * TOLERANCE_PART;
+        double smallestCall = limit.countsTokens() ? limit.plainTokens() : 1;
+        return Math.max(smallestCall, limit.burst() + slackTokens * TOLERANCE_PART);
     }
 
     /**
--- a/tarragonring-policy/src/test/java/org/tarragonring/policy/quota/QuotaAccountTest.java
+++ b/tarragonring-policy/src/test/java/org/tarragonring/policy/quota/QuotaAccountTest.java
@@ -50,6 +50,17 @@
         assertEquals(100, grant(ENTRY, 100), "there is capacity when the time has passed");
     }
 
+    // Guards against a team whose limit has no burst and which is refused for ever.
+    @Test
+    void limitWithoutABurstGrantsItsRate() {
+        account.setLimit(new QuotaLimit(100, 0, true, 50), 1);
+        for (int i = 0; i < 16; i++) {
+            nowMillis += 500;
+            assertEquals(50, grant(ENTRY, 50));
+        }
+        assertEquals(0, grant(ENTRY, 50));
+    }
+
     @Test
     void accountsOnBothSidesOfAPartitionShareTheLimit() {
         account.setLimit(LIMIT, 0.25);
