Apply a configuration although one of its values is invalid

Any of about thirty checks dropped the whole version: a route_type or time of another type, a split with a negative weight, a service or model without a valid name, a priority that is no integer, a key in two teams.

Cause: the reader treated the version as a whole, and one failure in it as that of the version.

Change: an optional value that is invalid counts as omitted.

--- a/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/log/LogEvent.java
@@ -119,6 +119,8 @@
             "replica %s has loaded %s, is loading %s, has accepted %s orders, reported by its %s"),
     /** A stored object was ignored because it is invalid. */
     STORED_OBJECT_INVALID(413, Logger.Level.WARN, "ignored object %s: field \"%s\" %s"),
+    /** A value of the configuration is invalid; the rest of the configuration is applied. */
+    CONFIG_VALUE_INVALID(417, Logger.Level.WARN, "object %s: ignored field \"%s\", it %s; invalid values: %s"),
     /** A replica replied to an order. */
     ORDER_REPLIED(420, Logger.Level.INFO, "order %s model=%s adapter=%s replica=%s sequence=%s fence=%s reply=%s"),
     /** The order lease of a group of replicas was acquired or lost, or an operation on it failed. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -315,6 +315,10 @@
             localResponses.sendError(request, LocalResponses.NOT_FOUND, "no matching route");
             return;
         }
+        if (!route.get().isServable()) {
+            refuseBeforeForwarding(request, head, "the route has no service", NOT_READY_RETRY_AFTER_MILLIS);
+            return;
+        }
         CallAuthenticator.Result caller = authenticator.authenticate(currentConfig, route.get(), head.apiKey());
         if (caller.refusal().isPresent()) {
             refuse(request, head, caller.refusal().get());
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/CallAuthenticator.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/CallAuthenticator.java
@@ -32,6 +32,9 @@
     private static final Result UNCONFIRMED = refused(new Refusal(
             UNAVAILABLE, "keys-unconfirmed", KeyedCalls.UNCONFIRMED_REASON, UNCONFIRMED_RETRY_AFTER_MILLIS));
 
+    private static final Result NO_TEAM = refused(new Refusal(
+            UNAVAILABLE, "key-without-team", "the team of the key cannot be read", UNCONFIRMED_RETRY_AFTER_MILLIS));
+
     private final KeyFreshness freshness;
 
     /**
@@ -63,6 +66,9 @@
         }
         TeamDirectory teams = config.teams().get();
         Optional<Team> team = teams.find(key.get());
+        if (teams.isKeyWithoutTeam(key.get())) {
+            return NO_TEAM;
+        }
         if (team.isEmpty() && route.allowsAnonymous()) {
             return ANONYMOUS;
         }
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/config/Route.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/config/Route.java
@@ -20,7 +20,8 @@
  * @param maxAttempts the maximum number of replicas that may run the same call
  * @param resumable whether an interrupted stream may be resumed on another replica
  * @param allowsAnonymous whether calls need no key
- * @param services the services that the calls are distributed to by weight, not empty
+ * @param services the services that the calls are distributed to by weight; empty if none can be read, and then the route
+ *     matches its calls so that no other route does, but they cannot be served; not null
  * @since 0.2.0
  */
 public record Route(
@@ -59,9 +60,15 @@
         Objects.requireNonNull(latencyObjective, "latencyObjective");
         Objects.requireNonNull(eventGapObjective, "eventGapObjective");
         services = List.copyOf(services);
-        if (services.isEmpty()) {
-            throw new IllegalArgumentException("route \"%s\" has no service, expected at least one".formatted(name));
-        }
+    }
+
+    /**
+     * Checks if there is a service that may run the calls.
+     *
+     * @return false if calls must be refused
+     */
+    public boolean isServable() {
+        return !services.isEmpty();
     }
 
     /**
@@ -97,8 +104,12 @@
      * @param fraction the position within the sum of all weights, from 0 inclusive to 1 exclusive; random for a split
      *     by weight
      * @return the service, never null
+     * @throws IllegalStateException if the route is not servable
      */
     public ServiceName selectService(double fraction) {
+        if (!isServable()) {
+            throw new IllegalStateException("route \"%s\" has no service".formatted(name));
+        }
         double totalWeight =
                 services.stream().mapToDouble(WeightedService::weight).sum();
         double remaining = fraction * totalWeight;
--- a/tarragonring-policy/src/main/java/org/tarragonring/policy/team/TeamDirectory.java
+++ b/tarragonring-policy/src/main/java/org/tarragonring/policy/team/TeamDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import org.tarragonring.ids.TeamName;
 
@@ -20,6 +21,7 @@
 
     private final Map<TeamName, Team> teams;
     private final Map<KeyDigest, Team> teamsByKey;
+    private final Set<KeyDigest> keysWithoutTeam;
 
     /**
      * Creates a directory of teams with at least one key each.
@@ -31,16 +33,28 @@
     }
 
     /**
-     * Creates a directory.
+     * Creates a directory of teams that can all be read.
      *
      * @param teams the teams, also those without a key; not null
      * @param teamsByKey the team of the digest of each key, not null
      */
     public TeamDirectory(Collection<Team> teams, Map<KeyDigest, Team> teamsByKey) {
+        this(teams, teamsByKey, Set.of());
+    }
+
+    /**
+     * Creates a directory.
+     *
+     * @param teams the teams, also those without a key; not null
+     * @param teamsByKey the team of the digest of each key, not null
+     * @param keysWithoutTeam the digests of the keys of teams that cannot be read, not null
+     */
+    public TeamDirectory(Collection<Team> teams, Map<KeyDigest, Team> teamsByKey, Set<KeyDigest> keysWithoutTeam) {
         Map<TeamName, Team> teamsByName = new HashMap<>();
         teams.forEach(team -> teamsByName.put(team.name(), team));
         this.teams = Map.copyOf(teamsByName);
         this.teamsByKey = Map.copyOf(Objects.requireNonNull(teamsByKey, "teamsByKey"));
+        this.keysWithoutTeam = Set.copyOf(Objects.requireNonNull(keysWithoutTeam, "keysWithoutTeam"));
     }
 
     private static Map<KeyDigest, Team> digests(Map<ApiKey, Team> teamsByKey) {
@@ -59,6 +73,16 @@
         return Optional.ofNullable(teamsByKey.get(KeyDigest.of(key)));
     }
 
+    /**
+     * Checks if a key is valid although the team that holds it cannot be read.
+     *
+     * @param key the key of a call, not null
+     * @return true if calls with the key are neither to be served nor to be taken for calls with an unknown key
+     */
+    public boolean isKeyWithoutTeam(ApiKey key) {
+        return !keysWithoutTeam.isEmpty() && keysWithoutTeam.contains(KeyDigest.of(key));
+    }
+
     /**
      * Finds a team by its name.
      *
