Do not confirm keys by a stored configuration that cannot be read

Cause: KeyFreshness was confirmed by any answer of the store to a request for the configuration, whether or not the entry could read what it answered. docs/design/TEAM-KEYS.md said so on purpose, "it is the newest that is valid"; but the store accepts only valid configurations, so the stored one is in force for the operator.

Change: FollowedConfig holds the configuration in force and whether the stored one could be read; if not, no answer confirms it. Weighed: to go on serving keys is what the setting forbids; to refuse calls without keys, or all calls where keys do not fail closed, would take more from callers than an older version does. The entry does not request the configuration beside its watch meanwhile, which would be five requests a second.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.Function;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Vertx;
@@ -19,6 +18,7 @@
 import org.tarragonring.gateway.catalog.CurrentReplicas;
 import org.tarragonring.gateway.catalog.LeavingReplicas;
 import org.tarragonring.gateway.catalog.ReplicaCatalog;
+import org.tarragonring.gateway.follow.FollowedConfig;
 import org.tarragonring.gateway.follow.StoreWatcher;
 import org.tarragonring.gateway.forward.CallServer;
 import org.tarragonring.gateway.forward.CallServerContext;
@@ -92,8 +92,7 @@
     private final KeyedCalls keyedCalls;
     private final QuotaService quotas;
     private final CallServer server;
-    private final Function<StoredObject, Optional<ServingConfig>> configDecoder;
-    private Optional<ServingConfig> config = Optional.empty();
+    private final FollowedConfig config;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private CompletableFuture<Void> started = CompletableFuture.completedFuture(null);
     private boolean shuttingDown;
@@ -120,6 +119,8 @@
         this.clocks = Objects.requireNonNull(clocks, "clocks");
         this.timers = new VertxTimers(vertx);
         GatewayMetrics metrics = new GatewayMetrics(registry);
+        this.config =
+                new FollowedConfig(dependencies.configKey(), dependencies.configDecoder(), this::onConfigActivated);
         this.store = new MeteredStore(dependencies.store(), metrics, clocks.monotonic());
         Ejections ejections = new Ejections(clocks.monotonic());
         this.mesh = new Mesh(settings, vertx, store, clocks.monotonic(), clocks.wall(), timers, random);
@@ -160,7 +161,7 @@
                 dependencies.configPrefix(),
                 keyedCalls.watchTime(watchTimeout, dependencies.storeTimeout()),
                 Duration.ZERO,
-                this::onConfig,
+                config::onChanged,
                 key -> {});
         this.replicaWatcher = createWatcher(
                 dependencies.replicaPrefix(),
@@ -168,7 +169,6 @@
                 WatchTiming.replicaBatchDelay(settings.drainTime()),
                 object -> dependencies.replicaDecoder().apply(object).ifPresent(catalog::put),
                 this::onReplicaRemoved);
-        this.configDecoder = dependencies.configDecoder();
         connect(dependencies.configPrefix());
         registerGauges(metrics);
     }
@@ -177,7 +177,9 @@
         catalog.setListCurrent(replicaWatcher::isCurrent);
         store.addEraListener(era -> catalog.onStoreRestored());
         keyedCalls.follow(
-                configWatcher, () -> store.list(configPrefix).invoke(objects -> objects.forEach(this::onConfig)));
+                configWatcher,
+                () -> store.list(configPrefix).invoke(objects -> objects.forEach(config::onChanged)),
+                config::isStoredVersionReadable);
         List.of(configWatcher, replicaWatcher).forEach(watcher -> watcher.onUnreachable(quarantine::renewWatch));
         planning.onReport(server.unevenRouting()::onReport);
         mesh.on(PeerMessage.ReplicaLeaving.class, (from, notice) -> leavingReplicas.onNotice(notice));
@@ -310,7 +312,7 @@
      * @return the newest valid configuration seen, or empty if none was seen yet
      */
     public Optional<ServingConfig> config() {
-        return config;
+        return config.current();
     }
 
     /**
@@ -323,7 +325,7 @@
         state.put("entry", settings.id().value());
         state.put("ready", isReady());
         state.put("leaving", shuttingDown);
-        state.put("configVersion", config.map(ServingConfig::version).orElse(0L));
+        state.put("configVersion", config().map(ServingConfig::version).orElse(0L));
         state.put("callsInFlight", server.inFlight());
         state.put("entriesAlive", mesh.alive());
         state.put("planningEntry", mesh.entryFor(PlanningService.DUTY));
@@ -362,7 +364,7 @@
                 new CurrentReplicas(store, dependencies.replicaPrefix(), dependencies.replicaDecoder()),
                 GroupLease.KEY_PREFIX,
                 () -> mesh.entryFor(ServingVersions.DUTY).equals(settings.id()),
-                () -> config.map(current -> current.longestStreamTimeout().plus(LIST_LAG)),
+                () -> config().map(current -> current.longestStreamTimeout().plus(LIST_LAG)),
                 clocks.monotonic(),
                 timers);
     }
@@ -370,7 +372,7 @@
     private void registerGauges(GatewayMetrics metrics) {
         metrics.registerGauge(
                 "tarragonring.config.version",
-                () -> config.map(ServingConfig::version).orElse(0L));
+                () -> config().map(ServingConfig::version).orElse(0L));
         metrics.registerGauge("tarragonring.store.era", () -> store.era().number());
         metrics.registerGauge("tarragonring.config.age.ms", configWatcher::ageMillis);
         metrics.registerGauge("tarragonring.replicas.age.ms", replicaWatcher::ageMillis);
@@ -401,7 +403,7 @@
     }
 
     private boolean canServe() {
-        return config.isPresent() && replicaWatcher.isListed() && quarantine.isListed();
+        return config().isPresent() && replicaWatcher.isListed() && quarantine.isListed();
     }
 
     /** Waits until the calls in flight have ended and callers have stopped to use this entry, if it has joined. */
@@ -422,17 +424,11 @@
         drained.complete(null);
     }
 
-    private void onConfig(StoredObject object) {
-        configDecoder.apply(object).ifPresent(decoded -> {
-            if (config.isPresent() && config.get().version() >= decoded.version()) {
-                return;
-            }
-            config = Optional.of(decoded);
-            LogEvent.SERVING_CONFIG_ACTIVATED.log(
-                    decoded.version(), decoded.hostCount(), decoded.services().size(), configWatcher.ageMillis());
-            quotas.onConfigChanged();
-            catalog.notifyListeners();
-        });
+    private void onConfigActivated(ServingConfig activated) {
+        LogEvent.SERVING_CONFIG_ACTIVATED.log(
+                activated.version(), activated.hostCount(), activated.services().size(), configWatcher.ageMillis());
+        quotas.onConfigChanged();
+        catalog.notifyListeners();
     }
 
     /** Removes a replica; the name of an object that another writer has left may be no valid id. */
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewayDependencies.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/GatewayDependencies.java
@@ -19,8 +19,8 @@
  *     for which the store holds it; not null
  * @param callCodec reads and writes the headers of calls, not null
  * @param replicaClient queries replicas and sends them orders, not null
- * @param configPrefix the prefix of the store keys of the configuration, not null
- * @param configDecoder decodes a configuration; returns empty for other or invalid objects; not null
+ * @param configKey the store key of the configuration, not null
+ * @param configDecoder decodes a configuration; returns empty if it cannot be read; not null
  * @param replicaPrefix the prefix of the store keys of the replica registrations, not null
  * @param replicaDecoder decodes a replica registration; returns empty for invalid objects; not null
  * @since 0.2.0
@@ -30,7 +30,17 @@
         Duration storeTimeout,
         CallCodec callCodec,
         ReplicaClient replicaClient,
-        String configPrefix,
+        String configKey,
         Function<StoredObject, Optional<ServingConfig>> configDecoder,
         String replicaPrefix,
-        Function<StoredObject, Optional<ListedReplica>> replicaDecoder) {}
+        Function<StoredObject, Optional<ListedReplica>> replicaDecoder) {
+
+    /**
+     * Returns the prefix of the store keys under which the configuration is found.
+     *
+     * @return the key of the configuration up to and including the slash, never null
+     */
+    public String configPrefix() {
+        return configKey.substring(0, configKey.indexOf('/') + 1);
+    }
+}
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/KeyedCalls.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/team/KeyedCalls.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.smallrye.mutiny.Uni;
@@ -27,7 +28,7 @@
 
     /** Tells callers and operators why calls with keys are refused. */
     static final String UNCONFIRMED_REASON =
-            "calls with keys are refused, as the store has not confirmed the configuration recently";
+            "calls with keys are refused, as the store has not confirmed recently that the configuration in force is the newest";
 
     /**
      * How long before calls with keys would be refused the configuration is requested beside the watch: the time for two
@@ -43,6 +44,7 @@
     private final KeyFreshness freshness;
     private final Timers timers;
     private Supplier<Uni<?>> configRequest = () -> Uni.createFrom().voidItem();
+    private BooleanSupplier isStoredVersionReadable = () -> true;
     private boolean requestInProgress;
     private Timers.Task nextCheck = () -> {};
     private boolean refusing;
@@ -85,18 +87,30 @@
     }
 
     /**
-     * Learns from the watcher of the configuration as of when it is confirmed.
+     * Learns from the watcher of the configuration as of when it is confirmed. A stored version that cannot be read
+     * confirms nothing, as it may have taken keys away.
      *
      * @param configWatcher the watcher, not started; not null
      * @param request requests the configuration once and puts it in force, not null
+     * @param storedVersionReadable tells whether the stored version could be read, not null
      */
-    public void follow(StoreWatcher configWatcher, Supplier<Uni<?>> request) {
+    public void follow(StoreWatcher configWatcher, Supplier<Uni<?>> request, BooleanSupplier storedVersionReadable) {
         configRequest = Objects.requireNonNull(request, "request");
+        isStoredVersionReadable = Objects.requireNonNull(storedVersionReadable, "storedVersionReadable");
         if (freshness.isBounded()) {
-            configWatcher.onRequestSent(freshness::onRequestSent);
+            configWatcher.onRequestSent(this::onRequestSent);
         }
     }
 
+    private Runnable onRequestSent() {
+        Runnable confirm = freshness.onRequestSent();
+        return () -> {
+            if (isStoredVersionReadable.getAsBoolean()) {
+                confirm.run();
+            }
+        };
+    }
+
     /**
      * Returns how long the store may hold a watch of the configuration.
      *
@@ -144,11 +158,15 @@
     }
 
     private void requestConfig() {
-        if (requestInProgress || config.get().flatMap(ServingConfig::teams).isEmpty()) {
+        // The watch tells of the version after one that cannot be read.
+        boolean isUseless = !isStoredVersionReadable.getAsBoolean();
+        if (requestInProgress
+                || isUseless
+                || config.get().flatMap(ServingConfig::teams).isEmpty()) {
             return;
         }
         requestInProgress = true;
-        Runnable confirm = freshness.onRequestSent();
+        Runnable confirm = onRequestSent();
         configRequest.get().subscribe().with(done -> onRequestEnded(confirm), failure -> {
             // The watcher logs that the store is unreachable; the next check sends the request again.
             onRequestEnded(() -> {});
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/team/KeyedCallsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/team/KeyedCallsTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.smallrye.mutiny.Uni;
@@ -29,6 +30,7 @@
     private final ManualTime time = new ManualTime();
     private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
     private Uni<?> configRequest = Uni.createFrom().failure(new IllegalStateException("unreachable"));
+    private boolean readable = true;
     private Optional<TeamDirectory> teams = Optional.of(new TeamDirectory(List.of(), Map.of()));
 
     @Test
@@ -60,6 +62,24 @@
         }
     }
 
+    // Guards against a removed key that is served because the version which removes it cannot be read.
+    @Test
+    void answeredRequestConfirmsNothingWhileTheStoredVersionCannotBeRead() {
+        AtomicInteger requests = new AtomicInteger();
+        configRequest = Uni.createFrom().voidItem().invoke(requests::incrementAndGet);
+        KeyedCalls keyedCalls = create(new KeySettings(Duration.ofSeconds(5), true));
+        watch(keyedCalls);
+        readable = false;
+
+        time.advance(Duration.ofSeconds(20));
+        assertFalse(keyedCalls.refusalReason().isEmpty());
+        assertEquals(0, requests.get(), "requests that cannot confirm anything");
+
+        readable = true;
+        time.advance(Duration.ofSeconds(1));
+        assertTrue(keyedCalls.refusalReason().isEmpty());
+    }
+
     @Test
     void nothingIsRefusedWithoutTeamsOrWithoutABound() {
         KeyedCalls bounded = create(new KeySettings(Duration.ofSeconds(5), true));
@@ -81,7 +101,7 @@
                 time,
                 object -> {},
                 key -> {});
-        keyedCalls.follow(watcher, () -> configRequest);
+        keyedCalls.follow(watcher, () -> configRequest, () -> readable);
         watcher.start();
         keyedCalls.start();
     }
