Accept names of teams and services with any characters

Cause: the names of operators were held to the rule for identifiers that this project gives out itself.

Names of models stay identifiers: they are part of MODEL/ADAPTER in headers and reports, and a registration with another name is one of another writer, which names no replica (ForeignObjectTest).

--- a/tarragonring-core/src/main/java/org/tarragonring/ids/Identifiers.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/ids/Identifiers.java
@@ -27,6 +27,27 @@
         return value;
     }
 
+    /**
+     * Returns a name after checking it. Unlike an identifier, it is chosen by others and may contain any characters that
+     * are no control characters.
+     *
+     * @param kind what the text names, for the error message; not null
+     * @param value the text
+     * @return the text
+     * @throws IllegalArgumentException if the text is null or not a valid name
+     */
+    static String requireName(String kind, String value) {
+        boolean isValid = value != null
+                && !value.isBlank()
+                && value.length() <= MAX_LENGTH
+                && value.chars().noneMatch(Character::isISOControl);
+        if (!isValid) {
+            throw new IllegalArgumentException("%s \"%s\" is not 1 to %d characters without control characters"
+                    .formatted(kind, value, MAX_LENGTH));
+        }
+        return value;
+    }
+
     /** Returns whether a text is a valid identifier; false for null. */
     static boolean isValid(String value) {
         return value != null
