Log that the first request to the store fails

What operators saw: an entry that does not become ready after its start, and no line that says why.

Change: the first failure after the start, or after a success, is logged (TRNG000114).

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -375,8 +375,10 @@
     private void onRequestFailed(Throwable failure) {
         boolean wasReachable = reachable;
         reachable = false;
-        if (wasReachable) {
+        if (!failing) {
             LogEvent.DEPENDENCY_STATE.log("store", false, prefix + ": " + failure.getMessage());
+        }
+        if (wasReachable) {
             onUnreachable.run();
         }
         failing = true;
