--- a/tarragonring-standin/src/main/java/org/tarragonring/standin/proxy/FaultProxy.java
+++ b/tarragonring-standin/src/main/java/org/tarragonring/standin/proxy/FaultProxy.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -10,17 +11,21 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import org.tarragonring.ids.HostPort;
 
 /**
- * Relays TCP connections to a target and simulates network faults: it can delay the data, drop the data of one
- * direction or of the connections that are open, or close or refuse connections.
+ * Relays TCP connections to a target and simulates network faults: it can delay the data, bound their rate, drop the data
+ * of one direction or of the connections that are open, or close or refuse connections.
  *
  * @since 0.1.0
  */
 public final class FaultProxy {
 
+    /** Keeps the system from accepting much more than a link of a bounded rate has relayed. */
+    private static final int BUFFER_BYTES = 16 << 10;
+
     private final Vertx vertx;
     private final HostPort target;
     private final NetClient client;
@@ -28,6 +33,8 @@
     private final Set<NetSocket> silencedSockets = ConcurrentHashMap.newKeySet();
     private volatile Mode mode = Mode.FORWARD;
     private volatile Duration delay = Duration.ZERO;
+    private Optional<NarrowLink> requestLink = Optional.empty();
+    private Optional<NarrowLink> responseLink = Optional.empty();
     private NetServer server;
 
     /**
@@ -48,7 +55,11 @@
      * @return completes with the proxy's address
      */
     public Future<HostPort> start() {
-        return vertx.createNetServer()
+        NetServerOptions options = new NetServerOptions();
+        if (requestLink.isPresent()) {
+            options.setReceiveBufferSize(BUFFER_BYTES);
+        }
+        return vertx.createNetServer(options)
                 .connectHandler(this::accept)
                 .listen(0, target.host())
                 .map(listening -> {
@@ -89,6 +100,16 @@
         delay = newDelay;
     }
 
+    /**
+     * Bounds the rate of the data. All connections share it. Must be invoked before the start.
+     *
+     * @param bytesPerSecond the rate in each direction, above 0
+     */
+    public void setMaxBytesPerSecond(int bytesPerSecond) {
+        requestLink = Optional.of(new NarrowLink(vertx, bytesPerSecond));
+        responseLink = Optional.of(new NarrowLink(vertx, bytesPerSecond));
+    }
+
     /** Closes all open connections; new ones are still accepted. */
     public void closeConnections() {
         sockets.forEach(NetSocket::close);
@@ -117,7 +138,7 @@
         caller.handler(data -> handleData(caller, upstream, data, false));
         upstream.handler(data -> handleData(upstream, caller, data, true));
         caller.closeHandler(closed -> onClosed(caller, upstream));
-        upstream.closeHandler(closed -> onClosed(upstream, caller));
+        upstream.closeHandler(closed -> onUpstreamClosed(caller, upstream));
         caller.resume();
     }
 
@@ -126,10 +147,10 @@
             return;
         }
         switch (mode) {
-            case FORWARD -> forward(to, data);
+            case FORWARD -> forward(from, to, data, isResponse);
             case DROP_RESPONSES -> {
                 if (!isResponse) {
-                    forward(to, data);
+                    forward(from, to, data, false);
                 }
             }
             case CLOSE_ON_RESPONSE -> {
@@ -137,26 +158,41 @@
                     from.close();
                     to.close();
                 } else {
-                    forward(to, data);
+                    forward(from, to, data, false);
                 }
             }
             case DROP_REQUESTS -> {
                 if (isResponse) {
-                    forward(to, data);
+                    forward(from, to, data, true);
                 }
             }
             default -> from.close();
         }
     }
 
-    private void forward(NetSocket to, Buffer data) {
-        if (delay.isZero()) {
+    private void forward(NetSocket from, NetSocket to, Buffer data, boolean isResponse) {
+        if (isResponse && responseLink.isPresent()) {
+            responseLink.get().send(to, data, () -> {});
+        } else if (requestLink.isPresent()) {
+            from.pause();
+            requestLink.get().send(to, data, from::resume);
+        } else if (delay.isZero()) {
             to.write(data);
         } else {
             vertx.setTimer(delay.toMillis(), id -> to.write(data));
         }
     }
 
+    /** Closes the connection to the caller when what has arrived before is no longer on the link. */
+    private void onUpstreamClosed(NetSocket caller, NetSocket upstream) {
+        if (responseLink.isPresent()) {
+            sockets.remove(upstream);
+            responseLink.get().send(caller, Buffer.buffer(), caller::end);
+        } else {
+            onClosed(upstream, caller);
+        }
+    }
+
     private void onClosed(NetSocket closed, NetSocket other) {
         sockets.remove(closed);
         silencedSockets.remove(closed);
