List the objects again if the missed changes are too long to read

Cause: a watch returns all versions since the last known revision, 24 of 0.85 MB here. A response above 16 MiB fails as if the store were unreachable, and the same watch from the same revision was sent again, until the store dropped its history.

Change: a watch whose response is too long is answered by a listing, as one whose history is gone. So an entry with a narrow link does not read versions that are replaced already: at 7 Mbit/s 16 MiB take 19 s, a list of the newest version 1 s.

--- a/tarragonring-core/src/main/java/org/tarragonring/objects/StoreException.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/objects/StoreException.java
@@ -53,7 +53,7 @@
         UNAVAILABLE,
         /** The connection of a watch that was waiting was closed; the same revision can be watched again. */
         INTERRUPTED,
-        /** The store no longer has the changes after the watched revision; the objects must be listed again. */
+        /** The changes after the watched revision cannot be read, or are gone; the objects must be listed again. */
         HISTORY_GONE,
         /** No usable response was received; the write may have taken effect. */
         AMBIGUOUS
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -19,7 +19,8 @@
 
 /**
  * Watches the objects under one key prefix of the store. Lists them first and then waits for changes; lists them again
- * when the store no longer has the history since the last seen revision, or has come back from an older copy.
+ * when the store no longer has the history since the last seen revision, when that is too long to read, or when the store
+ * has come back from an older copy.
  *
  * <p>Not thread-safe.
  *
@@ -292,7 +293,9 @@
         boolean isInterruptedAgain = clock.millis() - interruptedMillis < RETRY_DELAY.toMillis();
         if (kind == StoreException.Kind.HISTORY_GONE) {
             LogEvent.DEPENDENCY_STATE.log(
-                    "store", true, "history of " + prefix + " is no longer available, listing again");
+                    "store",
+                    true,
+                    "history of %s is not available, listing again: %s".formatted(prefix, failure.getMessage()));
             list();
         } else if (kind == StoreException.Kind.INTERRUPTED && !isInterruptedAgain) {
             interruptedMillis = clock.millis();
