Answer an offered upgrade to HTTP/2 with HTTP/1.1

Cause: the server of the HTTP library accepts the upgrade by default, while a connection carries one call at a time here: a call that breaks off ends its connection, so that its caller does not take a part for the whole.

Change: no server of an entry accepts the upgrade: callers, readiness, directory, metrics, and callers of the product's own interface.

--- a/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
+++ b/tarragonring-core/src/main/java/org/tarragonring/entry/Entry.java
@@ -361,8 +361,9 @@
     }
 
     private Future<Void> listen() {
-        HttpServerOptions options =
-                new HttpServerOptions().setMaxHeaderSize(settings.callerLimits().maxHeaderBytes());
+        HttpServerOptions options = new HttpServerOptions()
+                .setMaxHeaderSize(settings.callerLimits().maxHeaderBytes())
+                .setHttp2ClearTextEnabled(false);
         AdminHandler adminHandler = new AdminHandler(vertx, this::isReady, meterRegistry, this::state);
         return listenForCallers(options, settings.callerAddress(), settings.eventLoops())
                 .compose(done -> vertx.createHttpServer()
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallServer.java
@@ -198,7 +198,9 @@
                 .setSendBufferSize(SOCKET_BUFFER_BYTES)
                 .setReceiveBufferSize(SOCKET_BUFFER_BYTES)
                 .setMaxHeaderSize(MAX_PARSED_HEADER_BYTES)
-                .setMaxInitialLineLength(MAX_PARSED_HEADER_BYTES);
+                .setMaxInitialLineLength(MAX_PARSED_HEADER_BYTES)
+                // Calls and connections belong together here: one call that breaks off ends its connection.
+                .setHttp2ClearTextEnabled(false);
         server = vertx.createHttpServer(options)
                 .connectionHandler(callerConnections::onOpened)
                 .requestHandler(this::onRequest);
