Tell a pipelined call that its caller has left

Cause: CallerConnections kept one action for each connection. The end of the first call is recorded after the second one has started, and removed the action of the second.

Change: each call of a connection has its own action.

--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/BodyReader.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/BodyReader.java
@@ -90,7 +90,7 @@
             request.handler(this::onBytes);
             request.endHandler(end -> onEnd());
             timeoutTask = timers.schedule(timeout, this::onTimeout);
-            callerConnections.onCallStarted(request.connection(), this::onDisconnected);
+            callerConnections.onCallStarted(request.connection(), this, this::onDisconnected);
             long declared = declaredLength(request);
             if (declared > maxBytes) {
                 reject(listener::onTooLong);
@@ -147,7 +147,7 @@
 
         private void close() {
             open = false;
-            callerConnections.onCallEnded(request.connection());
+            callerConnections.onCallEnded(request.connection(), this);
         }
     }
 }
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallEnding.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallEnding.java
@@ -117,7 +117,7 @@
         calls.remove(exchange);
         exchange.release();
         exchange.cancelTimeout.run();
-        callerConnections.onCallEnded(exchange.request.connection());
+        callerConnections.onCallEnded(exchange.request.connection(), exchange);
         waiting.remove(exchange);
         exchange.endOthers(null);
         metrics.recordCall(exchange.route.name(), outcome, clock.millis() - exchange.arrivalMillis);
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallerConnections.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/CallerConnections.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -68,23 +69,25 @@
     }
 
     /**
-     * Records that a call is in progress on a connection.
+     * Records that a call is in progress on a connection. The next call may start before the end of one is recorded, if
+     * its caller does not wait for the response.
      *
+     * @param call identifies the call
      * @param onDisconnect runs if the caller disconnects before the call ends
      */
-    void onCallStarted(HttpConnection connection, Runnable onDisconnect) {
+    void onCallStarted(HttpConnection connection, Object call, Runnable onDisconnect) {
         Activity activity = connections.get(connection);
         if (activity == null) {
             onDisconnect.run();
         } else {
-            activity.onDisconnect = onDisconnect;
+            activity.onDisconnect.put(call, onDisconnect);
         }
     }
 
-    void onCallEnded(HttpConnection connection) {
+    void onCallEnded(HttpConnection connection, Object call) {
         Activity activity = connections.get(connection);
         if (activity != null) {
-            activity.onDisconnect = null;
+            activity.onDisconnect.remove(call);
             activity.lastMillis = clock.millis();
         }
     }
@@ -95,8 +98,8 @@
 
     private void onClosed(HttpConnection connection) {
         Activity activity = connections.remove(connection);
-        if (activity != null && activity.onDisconnect != null) {
-            activity.onDisconnect.run();
+        if (activity != null) {
+            List.copyOf(activity.onDisconnect.values()).forEach(Runnable::run);
         }
     }
 
@@ -104,7 +107,8 @@
         long idleSinceMillis =
                 clock.millis() - idleTimeout.get().plus(IDLE_TIMEOUT_MARGIN).toMillis();
         List<HttpConnection> idle = connections.entrySet().stream()
-                .filter(entry -> entry.getValue().onDisconnect == null && entry.getValue().lastMillis < idleSinceMillis)
+                .filter(entry ->
+                        entry.getValue().onDisconnect.isEmpty() && entry.getValue().lastMillis < idleSinceMillis)
                 .map(Map.Entry::getKey)
                 .toList();
         idle.forEach(HttpConnection::close);
@@ -113,8 +117,8 @@
     private static final class Activity {
 
         private long lastMillis;
-        /** Not null while a call is in progress. */
-        private Runnable onDisconnect;
+        /** The actions of the calls in progress. */
+        private final Map<Object, Runnable> onDisconnect = new IdentityHashMap<>(1);
 
         private Activity(long lastMillis) {
             this.lastMillis = lastMillis;
--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/forward/Forwarder.java
@@ -204,7 +204,8 @@
         budgets.onCall(exchange.service);
         exchange.weights.ifPresent(key -> arrivals.merge(key, 1, Integer::sum));
         scheduleTimeout(exchange, exchange.deadlineMillis);
-        callerConnections.onCallStarted(exchange.request.connection(), () -> ending.onCallerDisconnected(exchange));
+        callerConnections.onCallStarted(
+                exchange.request.connection(), exchange, () -> ending.onCallerDisconnected(exchange));
         if (resumption.isResumedByCaller(exchange)) {
             resumption.findVersion(exchange).thenAccept(version -> resume(exchange, version));
         } else {
--- a/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/CallerConnectionsTest.java
+++ b/tarragonring-gateway/src/test/java/org/tarragonring/gateway/forward/CallerConnectionsTest.java
@@ -57,11 +57,11 @@
 
     @Test
     void connectionStaysOpenDuringACall() {
-        connections.onCallStarted(connection, () -> {});
+        connections.onCallStarted(connection, "call", () -> {});
         advance(idleTimeout.multipliedBy(10));
         assertFalse(closed.contains(connection));
 
-        connections.onCallEnded(connection);
+        connections.onCallEnded(connection, "call");
         advance(idleTimeout.plus(MARGIN));
         assertTrue(closed.contains(connection));
     }
@@ -78,9 +78,9 @@
     @Test
     void callLearnsThatItsCallerDisconnected() {
         List<String> events = new ArrayList<>();
-        connections.onCallStarted(connection, () -> events.add("first"));
-        connections.onCallEnded(connection);
-        connections.onCallStarted(connection, () -> events.add("second"));
+        connections.onCallStarted(connection, "1", () -> events.add("first"));
+        connections.onCallEnded(connection, "1");
+        connections.onCallStarted(connection, "2", () -> events.add("second"));
 
         closeHandler.handle(null);
 
@@ -88,12 +88,27 @@
         assertEquals(0, connections.size());
     }
 
+    // Guards against a second pipelined call that goes on after its caller has left.
+    @Test
+    void endOfACallDoesNotConcernTheNextOneThatHasStartedBefore() {
+        List<String> events = new ArrayList<>();
+        connections.onCallStarted(connection, "1", () -> events.add("first"));
+        connections.onCallStarted(connection, "2", () -> events.add("second"));
+        connections.onCallEnded(connection, "1");
+        advance(idleTimeout.multipliedBy(10));
+        assertFalse(closed.contains(connection));
+
+        closeHandler.handle(null);
+
+        assertEquals(List.of("second"), events);
+    }
+
     @Test
     void callOnAConnectionThatIsAlreadyClosedEndsAtOnce() {
         List<String> events = new ArrayList<>();
         closeHandler.handle(null);
 
-        connections.onCallStarted(connection, () -> events.add("ended"));
+        connections.onCallStarted(connection, "call", () -> events.add("ended"));
 
         assertEquals(List.of("ended"), events);
     }
