--- a/tarragonring-cli/src/test/java/org/tarragonring/cli/ProcessFailureTest.java
+++ b/tarragonring-cli/src/test/java/org/tarragonring/cli/ProcessFailureTest.java
@@ -123,7 +123,8 @@
             FaultProxy proxy = new FaultProxy(site.vertx, site.platform);
             site.startEntry("a", TestSite.join(proxy.start()));
             site.awaitReady();
-            assertTrue(TestSite.join(chat(site, 0, "before", 2)).isAnswered());
+            CallResult before = TestSite.join(chat(site, 0, "before", 2));
+            assertTrue(before.isAnswered(), before.describe());
             proxy.setMode(FaultProxy.Mode.DROP_RESPONSES);
             CallResult chat = TestSite.join(chat(site, 0, "during", 20));
             assertTrue(chat.isAnswered(), chat.describe());
