--- a/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
+++ b/tarragonring-gateway/src/main/java/org/tarragonring/gateway/follow/StoreWatcher.java
@@ -19,8 +19,8 @@
 
 /**
  * Watches the objects under one key prefix of the store. Lists them first and then waits for changes; lists them again
- * when the store no longer has the history since the last seen revision, when that is too long to read, or when the store
- * has come back from an older copy.
+ * when the store no longer has the history since the last seen revision, when that history exceeds the size limit of a
+ * response, or when the store has come back from an older copy.
  *
  * <p>Not thread-safe.
  *
